--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,103 @@
+//! Errors of the crate. Each carries the step at which it arose and the peer or file involved.
+
+use std::{fmt, io, net::SocketAddr, path::PathBuf};
+
+/// Result with the error of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What went wrong.
+#[derive(Debug)]
+pub enum Error {
+    /// A message could not be encoded or decoded.
+    Codec {
+        /// What was done with the message.
+        step: &'static str,
+        /// Why it failed.
+        reason: String,
+    },
+    /// A message is larger than the limit.
+    TooLarge {
+        /// What was done with the message.
+        step: &'static str,
+        /// Size in bytes.
+        size: usize,
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// A socket could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why it failed.
+        source: io::Error,
+    },
+    /// A call to another process failed.
+    Peer {
+        /// What was asked of the peer.
+        step: &'static str,
+        /// The peer's address.
+        peer: String,
+        /// Why it failed.
+        reason: String,
+    },
+    /// A file could not be read or written.
+    File {
+        /// What was done with the file.
+        step: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// Why it failed.
+        source: io::Error,
+    },
+    /// A file holds data that cannot be right.
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// Offset of the first wrong byte.
+        offset: u64,
+        /// What is wrong.
+        reason: String,
+    },
+    /// A settings file, a list or an option holds a value that is not allowed.
+    Invalid {
+        /// File or option, with line and column where known.
+        place: String,
+        /// What is wrong, with the value.
+        reason: String,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Codec { step, reason } => write!(f, "{step}: {reason}"),
+            Self::TooLarge { step, size, limit } => {
+                write!(f, "{step}: {size} bytes exceed the limit of {limit}")
+            }
+            Self::Bind { address, source } => write!(f, "bind {address}: {source}"),
+            Self::Peer { step, peer, reason } => write!(f, "{step} at {peer}: {reason}"),
+            Self::File { step, path, source } => {
+                write!(f, "{step} {}: {source}", path.display())
+            }
+            Self::Corrupt {
+                path,
+                offset,
+                reason,
+            } => write!(
+                f,
+                "{} is corrupt at offset {offset}: {reason}",
+                path.display()
+            ),
+            Self::Invalid { place, reason } => write!(f, "{place}: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Bind { source, .. } | Self::File { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,5 @@
-//! x
+//! anvilbeam distributes the configuration of a service mesh and routes its calls.
+
+pub mod error;
+pub mod model;
+pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,3 @@
-fn main(){}
+//! Command line for operators.
+
+fn main() {}
