--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,413 @@
+//! Requests between our own processes: HTTP/2 streams that carry bincode messages or proxied calls.
+
+use {
+    crate::{
+        body::{self, Body},
+        error::{Error, Result},
+        serve::{self, CONNECTION_WINDOW, PING_INTERVAL, STREAM_WINDOW, Server},
+        wire::{self, MAX_MESSAGE},
+    },
+    bytes::BytesMut,
+    http::{HeaderValue, Request, Response, StatusCode},
+    http_body_util::BodyExt,
+    hyper::{
+        body::Incoming,
+        client::conn::http2::{self, SendRequest},
+    },
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
+    indexmap::IndexMap,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        error::Error as StdError,
+        fmt,
+        marker::PhantomData,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Mutex as AsyncMutex,
+        time::{Duration, Instant, timeout_at},
+    },
+};
+
+/// Header with the token that proves that a process belongs to the mesh.
+const TOKEN_HEADER: &str = "anvilbeam-mesh";
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a request has no response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of the request reached the peer's handler.
+    NotSent(String),
+    /// The request may have been handled.
+    Unknown(String),
+    /// The deadline passed; the request may have been handled.
+    TimedOut,
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::Unknown(reason) => write!(f, "no response: {reason}"),
+            Self::TimedOut => f.write_str("deadline passed"),
+        }
+    }
+}
+
+type Connection = Arc<AsyncMutex<Option<SendRequest<Body>>>>;
+
+/// Client for the peer ports of other processes; keeps one connection for each address.
+#[derive(Clone)]
+pub struct Client {
+    token: HeaderValue,
+    connections: Arc<Mutex<IndexMap<SocketAddr, Connection>>>,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// A client that proves itself with `token`.
+    ///
+    /// # Errors
+    /// [`Error::Invalid`] when the token cannot stand in a header.
+    pub fn new(token: &str) -> Result<Self> {
+        let mut token = HeaderValue::from_str(token).map_err(|e| Error::Invalid {
+            place: "mesh token".to_owned(),
+            reason: e.to_string(),
+        })?;
+        token.set_sensitive(true);
+        Ok(Self {
+            token,
+            connections: Arc::default(),
+        })
+    }
+
+    /// Sends one request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// Tells apart whether the request may have been handled.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut req: Request<Body>,
+        deadline: Instant,
+    ) -> std::result::Result<Response<Incoming>, SendError> {
+        req.headers_mut().insert(TOKEN_HEADER, self.token.clone());
+        let connection = self.connection(address);
+        let mut sender = sender_of(&connection, address, deadline).await?;
+        loop {
+            let sent = timeout_at(deadline, sender.try_send_request(req)).await;
+            let mut failed = match sent {
+                Ok(Ok(response)) => return Ok(response),
+                Ok(Err(failed)) => failed,
+                Err(_) => {
+                    return Err(SendError::TimedOut);
+                }
+            };
+            let Some(unsent) = failed.take_message() else {
+                return Err(classify(&failed.into_error()));
+            };
+            // The connection closed before it took the request, so a new one may carry it.
+            connection.lock().await.take();
+            req = unsent;
+            sender = sender_of(&connection, address, deadline).await?;
+        }
+    }
+
+    /// Sends one message and waits for the answer.
+    ///
+    /// # Errors
+    /// [`Error::Peer`] with `step` and the address.
+    pub async fn ask<Q, A>(
+        &self,
+        step: &'static str,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+        deadline: Instant,
+    ) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let response = self.post(step, address, path, question, deadline).await?;
+        let collected = body::collect(body::boxed(response.into_body()), MAX_MESSAGE);
+        let buf = timeout_at(deadline, collected)
+            .await
+            .map_err(|_elapsed| peer_error(step, address, "deadline passed"))?
+            .map_err(|e| peer_error(step, address, e))?;
+        wire::decode(&buf)
+    }
+
+    /// Sends one message and returns the stream of frames that answers it.
+    ///
+    /// # Errors
+    /// [`Error::Peer`] with `step` and the address.
+    pub async fn open<Q, A>(
+        &self,
+        step: &'static str,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+        deadline: Instant,
+    ) -> Result<Frames<A>>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let response = self.post(step, address, path, question, deadline).await?;
+        Ok(Frames {
+            step,
+            address,
+            body: response.into_body(),
+            buf: BytesMut::new(),
+            received: 0,
+            kind: PhantomData,
+        })
+    }
+
+    async fn post<Q: Serialize>(
+        &self,
+        step: &'static str,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>> {
+        let req = Request::post(format!("http://{address}{path}"))
+            .body(body::full(wire::encode(question)?))
+            .map_err(|e| peer_error(step, address, e))?;
+        let response = self
+            .send(address, req, deadline)
+            .await
+            .map_err(|e| peer_error(step, address, e))?;
+        if response.status() != StatusCode::OK {
+            let reason = format!("status {}", response.status());
+            return Err(peer_error(step, address, reason));
+        }
+        Ok(response)
+    }
+
+    fn connection(&self, address: SocketAddr) -> Connection {
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(connections.entry(address).or_default())
+    }
+
+    /// Forgets connections to addresses that `keep` refuses.
+    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        connections.retain(|address, _| keep(*address));
+    }
+}
+
+fn peer_error(step: &'static str, address: SocketAddr, reason: impl fmt::Display) -> Error {
+    Error::Peer {
+        step,
+        peer: address.to_string(),
+        reason: reason.to_string(),
+    }
+}
+
+/// The open connection, or a new one. Holding the lock makes callers share one attempt.
+async fn sender_of(
+    connection: &Connection,
+    address: SocketAddr,
+    deadline: Instant,
+) -> std::result::Result<SendRequest<Body>, SendError> {
+    let mut open = connection.lock().await;
+    if let Some(sender) = open.as_ref().filter(|sender| !sender.is_closed()) {
+        return Ok(sender.clone());
+    }
+    let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let sender = timeout_at(limit, connect(address))
+        .await
+        .map_err(|_elapsed| SendError::NotSent(format!("no connection to {address} in time")))?
+        .map_err(SendError::NotSent)?;
+    *open = Some(sender.clone());
+    Ok(sender)
+}
+
+async fn connect(address: SocketAddr) -> std::result::Result<SendRequest<Body>, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| format!("connect to {address}: {e}"))?;
+    serve::tune(&stream);
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_INTERVAL)
+        .keep_alive_while_idle(true)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| format!("handshake with {address}: {e}"))?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("connection to {address} ended: {e}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Only a refused stream proves that the peer's handler did not see the request.
+fn classify(e: &hyper::Error) -> SendError {
+    let refused = e
+        .source()
+        .and_then(|source| source.downcast_ref::<h2::Error>())
+        .is_some_and(|source| {
+            source.is_reset() && source.reason() == Some(h2::Reason::REFUSED_STREAM)
+        });
+    if refused {
+        SendError::NotSent(e.to_string())
+    } else {
+        SendError::Unknown(full_reason(e))
+    }
+}
+
+fn full_reason(e: &dyn StdError) -> String {
+    let mut text = e.to_string();
+    let mut cause = e.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
+
+/// Frames of one response.
+pub struct Frames<A> {
+    step: &'static str,
+    address: SocketAddr,
+    body: Incoming,
+    buf: BytesMut,
+    received: u64,
+    kind: PhantomData<fn() -> A>,
+}
+
+impl<A> fmt::Debug for Frames<A> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Frames")
+            .field("step", &self.step)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<A: DeserializeOwned> Frames<A> {
+    /// The next frame, waiting at most until `deadline`.
+    ///
+    /// # Errors
+    /// [`Error::Peer`] when the stream ends, fails or stays silent; a codec error for a bad frame.
+    pub async fn next(&mut self, deadline: Instant) -> Result<A> {
+        loop {
+            if let Some(message) = wire::next_frame(&mut self.buf)? {
+                return Ok(message);
+            }
+            let frame = timeout_at(deadline, self.body.frame())
+                .await
+                .map_err(|_elapsed| self.failed("no frame in time"))?
+                .ok_or_else(|| self.failed("stream ended"))?
+                .map_err(|e| self.failed(full_reason(&e)))?;
+            if let Ok(data) = frame.into_data() {
+                self.received += data.len() as u64;
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+
+    /// Bytes received so far.
+    pub const fn received(&self) -> u64 {
+        self.received
+    }
+
+    fn failed(&self, reason: impl fmt::Display) -> Error {
+        peer_error(self.step, self.address, reason)
+    }
+}
+
+/// Serves a peer port; requests without the mesh token get 401 and never reach `handler`.
+///
+/// # Errors
+/// [`Error::Invalid`] when the token cannot stand in a header.
+pub fn serve_peers<F, Fut>(listener: TcpListener, token: &str, handler: F) -> Result<Server>
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let token: Arc<str> = Arc::from(token);
+    Ok(serve::serve(
+        listener,
+        move |req: Request<Incoming>, peer| {
+            let allowed = req
+                .headers()
+                .get(TOKEN_HEADER)
+                .is_some_and(|sent| same_secret(sent.as_bytes(), token.as_bytes()));
+            let handler = handler.clone();
+            async move {
+                if allowed {
+                    return handler(req).await;
+                }
+                log::warn!("peer {peer} has no valid mesh token");
+                status(StatusCode::UNAUTHORIZED)
+            }
+        },
+    ))
+}
+
+/// Compares secrets in a time that does not depend on where they differ.
+///
+/// ```
+/// use anvilbeam::peer::same_secret;
+/// assert!(same_secret(b"one", b"one"));
+/// assert!(!same_secret(b"one", b"two"));
+/// ```
+pub fn same_secret(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |diff, (x, y)| diff | (x ^ y)) == 0
+}
+
+/// A response without a body.
+pub fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = code;
+    response
+}
+
+/// Reads the message that a request carries.
+///
+/// # Errors
+/// [`Error::Codec`] or [`Error::TooLarge`].
+pub async fn read_message<Q: DeserializeOwned>(req: Request<Incoming>) -> Result<Q> {
+    let buf = body::collect(body::boxed(req.into_body()), MAX_MESSAGE)
+        .await
+        .map_err(|e| Error::Codec {
+            step: "read message",
+            reason: e.to_string(),
+        })?;
+    wire::decode(&buf)
+}
+
+/// Answers with one message.
+pub fn message_response<A: Serialize>(answer: &A) -> Response<Body> {
+    match wire::encode(answer) {
+        Ok(buf) => Response::new(body::full(buf)),
+        Err(e) => {
+            log::error!("encode answer: {e}");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
