--- a/src/body.rs
+++ b/src/body.rs
@@ -9,6 +9,7 @@
         error::Error as StdError,
         fmt,
         pin::Pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
     },
     tokio::{
@@ -66,11 +67,44 @@
     Dropped,
 }
 
+/// When a body must make its next progress; shared with whoever waits for the response.
+#[derive(Debug)]
+pub struct Progress {
+    next_byte_by: Mutex<Instant>,
+}
+
+impl Progress {
+    /// Progress of a body that starts now.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            next_byte_by: Mutex::new(Instant::now() + PROGRESS_TIMEOUT),
+        })
+    }
+
+    /// Deadline of the next byte.
+    pub fn deadline(&self) -> Instant {
+        *self.lock()
+    }
+
+    fn extend(&self) -> Instant {
+        let deadline = Instant::now() + PROGRESS_TIMEOUT;
+        *self.lock() = deadline;
+        deadline
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Instant> {
+        self.next_byte_by
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 type OnEnd = Box<dyn FnOnce(Ending) + Send>;
 
 /// A body that fails when no byte arrives for [`PROGRESS_TIMEOUT`] and reports its end once.
 pub struct Watched {
     inner: Body,
+    progress: Arc<Progress>,
     stall: Pin<Box<Sleep>>,
     on_end: Option<OnEnd>,
 }
@@ -83,10 +117,15 @@
 
 impl Watched {
     /// Watches `inner`; `on_end` runs exactly once.
-    pub fn new(inner: Body, on_end: impl FnOnce(Ending) + Send + 'static) -> Self {
+    pub fn new(
+        inner: Body,
+        progress: Arc<Progress>,
+        on_end: impl FnOnce(Ending) + Send + 'static,
+    ) -> Self {
         Self {
             inner,
-            stall: Box::pin(sleep_until(Instant::now() + PROGRESS_TIMEOUT)),
+            stall: Box::pin(sleep_until(progress.deadline())),
+            progress,
             on_end: Some(Box::new(on_end)),
         }
     }
@@ -109,7 +148,8 @@
         let this = &mut *self;
         match Pin::new(&mut this.inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                this.stall.as_mut().reset(Instant::now() + PROGRESS_TIMEOUT);
+                let deadline = this.progress.extend();
+                this.stall.as_mut().reset(deadline);
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(e))) => {
--- a/src/claims/mod.rs
+++ b/src/claims.rs
@@ -104,6 +104,17 @@
     },
 }
 
+impl Command {
+    /// Sets the clock, which only the leader does.
+    pub fn stamp(&mut self, clock_ms: u64) {
+        match self {
+            Self::Claim { now_ms, .. }
+            | Self::Finish { now_ms, .. }
+            | Self::Release { now_ms, .. } => *now_ms = clock_ms,
+        }
+    }
+}
+
 /// Reply to a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,13 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
+pub mod backend;
 pub mod body;
+pub mod call;
+pub mod claim_client;
 pub mod claims;
 pub mod error;
 pub mod model;
 pub mod peer;
+pub mod refusal;
 pub mod serve;
 pub mod wire;
