--- a/src/claim_client.rs
+++ b/src/claim_client.rs
@@ -161,12 +161,15 @@
                 }
                 Ok(ClaimAnswer::NotLeader(Some(leader))) if leader != address => {
                     hint = Some(leader);
-                    continue;
+                    reason = format!("{address} names {leader} as the leader");
                 }
                 Ok(answer) => reason = format!("{address} answered {answer:?}"),
                 Err(e) => reason = e.to_string(),
             }
-            at += 1;
+            if hint.is_none() {
+                at += 1;
+            }
+            // Replicas that name each other during an election must not be asked in a tight loop.
             sleep(RETRY_PAUSE).await;
         }
         Err(self.failed(step, reason))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
+pub mod announce;
 pub mod backend;
 pub mod body;
 pub mod call;
@@ -10,4 +11,5 @@
 pub mod peer;
 pub mod refusal;
 pub mod serve;
+pub mod stand_in;
 pub mod wire;
--- a/src/model.rs
+++ b/src/model.rs
@@ -222,6 +222,7 @@
 
 /// Whether a backend server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum ServerState {
     /// Takes new work.
--- /dev/null
+++ b/src/stand_in.rs
@@ -0,0 +1,283 @@
+//! Small stand-in for a backend server, for `dev`, tests and measurements.
+
+use {
+    crate::{
+        announce::{ANNOUNCE_PATH, Announcement},
+        body::{self, Body},
+        call::IDEMPOTENCY_KEY,
+        error::{Error, Result},
+        model::ServerState,
+        peer, serve,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, Response, StatusCode, Uri, header},
+    http_body_util::BodyExt,
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+    },
+    tokio::{
+        net::TcpStream,
+        runtime::{Builder, Runtime},
+        sync::Notify,
+        time::{Duration, sleep},
+    },
+};
+
+/// Interval of announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Bytes in one chunk of a generated body.
+const CHUNK: usize = 64 * 1024;
+
+/// Counts of runs by idempotency key, shared by all stand-ins of a test.
+pub type Runs = Arc<Mutex<IndexMap<String, u32>>>;
+
+/// What a stand-in is.
+#[derive(Clone, Debug)]
+pub struct StandInConfig {
+    /// What it announces; the address is filled in.
+    pub announcement: Announcement,
+    /// Local port of the daemon beside it.
+    pub daemon: SocketAddr,
+    /// Counts of runs.
+    pub runs: Runs,
+}
+
+/// The answer of a stand-in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The server that answered.
+    pub server: String,
+    /// Its service.
+    pub service: String,
+    /// Method of the request.
+    pub method: String,
+    /// Path and query of the request.
+    pub path: String,
+    /// Bytes of the request body.
+    pub received: u64,
+    /// Milliseconds that were left for the call.
+    pub timeout_ms: Option<u64>,
+}
+
+struct State {
+    cfg: StandInConfig,
+    draining: AtomicBool,
+    calls: AtomicU64,
+    crash: Notify,
+}
+
+/// A running stand-in.
+pub struct StandIn {
+    address: SocketAddr,
+    state: Arc<State>,
+    runtime: Option<Runtime>,
+}
+
+impl std::fmt::Debug for StandIn {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StandIn")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl StandIn {
+    /// Starts a stand-in on a free port of the loopback interface.
+    ///
+    /// # Errors
+    /// [`Error::Bind`] when no port or no thread can be had.
+    pub fn start(mut cfg: StandInConfig) -> Result<Self> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let bind_error = |source| Error::Bind {
+            address: any,
+            source,
+        };
+        // A runtime of its own lets a crash end all connections at once.
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .map_err(bind_error)?;
+        let listener = std::net::TcpListener::bind(any).map_err(bind_error)?;
+        listener.set_nonblocking(true).map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        cfg.announcement.address = address;
+        let state = Arc::new(State {
+            cfg,
+            draining: AtomicBool::new(false),
+            calls: AtomicU64::new(0),
+            crash: Notify::new(),
+        });
+        let shared = Arc::clone(&state);
+        runtime.spawn(async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+                return;
+            };
+            let server = serve::serve(listener, {
+                let state = Arc::clone(&shared);
+                move |req, _| answer(Arc::clone(&state), req)
+            });
+            announce_forever(&shared).await;
+            drop(server);
+        });
+        Ok(Self {
+            address,
+            state,
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Address that takes calls.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that were run.
+    pub fn calls(&self) -> u64 {
+        self.state.calls.load(Ordering::Relaxed)
+    }
+
+    /// Announces from now on that the server is leaving.
+    pub fn drain(&self) {
+        self.state.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Ends the server and all its connections at once.
+    pub fn crash(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Waits until a request to `/crash` came, and then crashes.
+    pub async fn crash_on_request(&mut self) {
+        self.state.crash.notified().await;
+        self.crash();
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+async fn announce_forever(state: &State) {
+    loop {
+        if let Err(e) = announce(state).await {
+            log::debug!("announcement of {}: {e}", state.cfg.announcement.server);
+        }
+        sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn announce(state: &State) -> std::result::Result<(), body::BoxError> {
+    let mut announcement = state.cfg.announcement.clone();
+    if state.draining.load(Ordering::Relaxed) {
+        announcement.state = ServerState::Draining;
+    }
+    let stream = TcpStream::connect(state.cfg.daemon).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let req = Request::post(ANNOUNCE_PATH)
+        .header(header::HOST, state.cfg.daemon.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body::full(serde_json::to_vec(&announcement)?))?;
+    let response = sender.send_request(req).await?;
+    let status = response.status();
+    drop(response.into_body().collect().await?);
+    drop(sender);
+    driver.await??;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}").into());
+    }
+    Ok(())
+}
+
+async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    let (parts, mut incoming) = req.into_parts();
+    state.calls.fetch_add(1, Ordering::Relaxed);
+    count_run(&state.cfg.runs, &parts.headers);
+    if parts.uri.path() == "/crash" {
+        state.crash.notify_one();
+        sleep(Duration::from_mins(1)).await;
+    }
+    let mut received = 0;
+    while let Some(frame) = incoming.frame().await {
+        let Ok(frame) = frame else {
+            return peer::status(StatusCode::BAD_REQUEST);
+        };
+        received += frame.data_ref().map_or(0, Bytes::len) as u64;
+    }
+    if let Some(ms) = query_number(&parts.uri, "ms") {
+        sleep(Duration::from_millis(ms)).await;
+    }
+    if let Some(code) = query_number(&parts.uri, "status") {
+        return peer::status(StatusCode::from_u16(code as u16).unwrap_or_default());
+    }
+    if let Some(bytes) = query_number(&parts.uri, "bytes") {
+        return Response::new(generated(bytes));
+    }
+    let announcement = &state.cfg.announcement;
+    let echo = Echo {
+        server: announcement.server.to_string(),
+        service: announcement.service.to_string(),
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        received,
+        timeout_ms: header_number(&parts.headers, &crate::call::TIMEOUT_MS),
+    };
+    let mut response = Response::new(body::full(serde_json::to_vec(&echo).unwrap_or_default()));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+fn count_run(runs: &Runs, headers: &HeaderMap) {
+    let key = headers
+        .get(IDEMPOTENCY_KEY)
+        .and_then(|value| value.to_str().ok());
+    if let Some(key) = key {
+        let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(key.to_owned()).or_default() += 1;
+    }
+}
+
+/// A body of `bytes` zero bytes that is generated while it is sent.
+fn generated(bytes: u64) -> Body {
+    let (tx, streamed) = body::channel(4);
+    tokio::spawn(async move {
+        let chunk = Bytes::from(vec![0; CHUNK]);
+        let mut left = bytes;
+        while left > 0 {
+            let size = left.min(CHUNK as u64);
+            left -= size;
+            if tx.send(chunk.slice(..size as usize)).await.is_err() {
+                return;
+            }
+        }
+    });
+    streamed
+}
+
+fn query_number(uri: &Uri, name: &str) -> Option<u64> {
+    uri.query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+fn header_number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
