--- a/src/backend.rs
+++ b/src/backend.rs
@@ -15,10 +15,11 @@
         fmt,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Instant,
     },
     tokio::{
         net::TcpStream,
-        time::{Duration, Instant, timeout, timeout_at},
+        time::{Duration, timeout, timeout_at},
     },
 };
 
@@ -151,7 +152,7 @@
             }
         }
         let limit = patience.deadline().min(Instant::now() + CONNECT_TIMEOUT);
-        let mut sender = timeout_at(limit, self.connect())
+        let mut sender = timeout_at(limit.into(), self.connect())
             .await
             .map_err(|_elapsed| CallError::NotRun(self.refused("no connection in time")))?
             .map_err(CallError::NotRun)?;
@@ -227,7 +228,7 @@
     let mut response = std::pin::pin!(response);
     loop {
         let deadline = patience.deadline();
-        if let Ok(output) = timeout_at(deadline, &mut response).await {
+        if let Ok(output) = timeout_at(deadline.into(), &mut response).await {
             return Ok(output);
         }
         if patience.deadline() <= deadline {
--- a/src/body.rs
+++ b/src/body.rs
@@ -11,10 +11,11 @@
         pin::Pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
+        time::Instant,
     },
     tokio::{
         sync::mpsc,
-        time::{Duration, Instant, Sleep, sleep_until},
+        time::{Duration, Sleep, sleep_until},
     },
 };
 
@@ -124,7 +125,7 @@
     ) -> Self {
         Self {
             inner,
-            stall: Box::pin(sleep_until(progress.deadline())),
+            stall: Box::pin(sleep_until(progress.deadline().into())),
             progress,
             on_end: Some(Box::new(on_end)),
         }
@@ -149,7 +150,7 @@
         match Pin::new(&mut this.inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 let deadline = this.progress.extend();
-                this.stall.as_mut().reset(deadline);
+                this.stall.as_mut().reset(deadline.into());
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(e))) => {
--- a/src/call.rs
+++ b/src/call.rs
@@ -7,8 +7,10 @@
         refusal::{Reason, Refusal},
     },
     http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header, request::Parts},
-    std::str::FromStr,
-    tokio::time::{Duration, Instant},
+    std::{
+        str::FromStr,
+        time::{Duration, Instant},
+    },
 };
 
 /// Header with the milliseconds that are left for a call.
--- a/src/claim_client.rs
+++ b/src/claim_client.rs
@@ -14,8 +14,9 @@
             Arc,
             atomic::{AtomicUsize, Ordering},
         },
+        time::Instant,
     },
-    tokio::time::{Duration, Instant, sleep},
+    tokio::time::{Duration, sleep},
 };
 
 /// Path of the peer port that takes commands of a claims group.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -23,11 +23,12 @@
         marker::PhantomData,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
+        time::Instant,
     },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Mutex as AsyncMutex,
-        time::{Duration, Instant, timeout_at},
+        time::{Duration, timeout_at},
     },
 };
 
@@ -103,7 +104,7 @@
         let connection = self.connection(address);
         let mut sender = sender_of(&connection, address, deadline).await?;
         loop {
-            let sent = timeout_at(deadline, sender.try_send_request(req)).await;
+            let sent = timeout_at(deadline.into(), sender.try_send_request(req)).await;
             let mut failed = match sent {
                 Ok(Ok(response)) => return Ok(response),
                 Ok(Err(failed)) => failed,
@@ -139,7 +140,7 @@
     {
         let response = self.post(step, address, path, question, deadline).await?;
         let collected = body::collect(body::boxed(response.into_body()), MAX_MESSAGE);
-        let buf = timeout_at(deadline, collected)
+        let buf = timeout_at(deadline.into(), collected)
             .await
             .map_err(|_elapsed| peer_error(step, address, "deadline passed"))?
             .map_err(|e| peer_error(step, address, e))?;
@@ -232,7 +233,7 @@
         return Ok(sender.clone());
     }
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let sender = timeout_at(limit, connect(address))
+    let sender = timeout_at(limit.into(), connect(address))
         .await
         .map_err(|_elapsed| SendError::NotSent(format!("no connection to {address} in time")))?
         .map_err(SendError::NotSent)?;
@@ -318,7 +319,7 @@
             if let Some(message) = wire::next_frame(&mut self.buf)? {
                 return Ok(message);
             }
-            let frame = timeout_at(deadline, self.body.frame())
+            let frame = timeout_at(deadline.into(), self.body.frame())
                 .await
                 .map_err(|_elapsed| self.failed("no frame in time"))?
                 .ok_or_else(|| self.failed("stream ended"))?
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -4,9 +4,11 @@
     crate::body::{self, Body},
     http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
     serde::Serialize,
-    std::fmt,
+    std::{
+        fmt,
+        time::{Duration, Instant},
+    },
     strum::{Display, EnumString},
-    tokio::time::{Duration, Instant},
 };
 
 /// Header that tells whether the request ran.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,12 +13,12 @@
         server::{conn::auto, graceful::GracefulShutdown},
     },
     socket2::{SockRef, TcpKeepalive},
-    std::{convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe},
+    std::{convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe, time::Instant},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
         task::JoinHandle,
-        time::{Duration, Instant, sleep, timeout_at},
+        time::{Duration, sleep, timeout_at},
     },
 };
 
@@ -56,7 +56,9 @@
         let Ok(graceful) = self.task.await else {
             return false;
         };
-        timeout_at(deadline, graceful.shutdown()).await.is_ok()
+        timeout_at(deadline.into(), graceful.shutdown())
+            .await
+            .is_ok()
     }
 }
 
