Add the two lists and the types of the operators' interface

Cause: control, daemons and the command line need one definition of a valid list and of the operators' HTTP bodies. Change: lists parses, validates, renders and compares both lists; scalars are read as text with positions, so that one wrong value does not hide the next. operator_api holds the HTTP types; yaml bounds the parser. Conclusion: an explicit empty list of servers is refused, since it would widen the grant to all servers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,8 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
 pub mod error;
+pub mod lists;
 pub mod model;
+pub mod operator_api;
 pub mod wire;
+pub mod yaml;
--- /dev/null
+++ b/src/lists/tests.rs
@@ -0,0 +1,248 @@
+//! Tests of the two lists.
+
+use {
+    super::{
+        Action, Announced, Lists, MAX_PLANS, check, diff, render_grants, render_plans, warnings,
+    },
+    crate::{
+        model::{Digest, Grant, Plan, Rank},
+        yaml,
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+};
+
+const PLANS: &str = "plans:\n- name: depot\n  key_hashes: []\n  home_region: lothian\n";
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn reasons(plans: &str, grants: &str) -> Vec<String> {
+    let problems = check(plans, grants).unwrap_err();
+    problems.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against a check that stops at the first wrong value.
+#[test]
+fn all_wrong_values_are_reported_with_their_places() {
+    let hash = Digest::of(b"a");
+    let plans = format!(
+        "plans:\n- {{ name: a, key_hashes: [{hash}], home_region: X }}\n\
+         - {{ name: b, key_hashes: [{hash}, zz], home_region: x }}\n\
+         - {{ name: a, key_hashes: [], home_region: x }}\n"
+    );
+    let grants = "grants:\n- { plan: a, service: s, capacity: 0, rank: high }\n\
+                  - { plan: c, service: s, capacity: 10000001, rank: top }\n\
+                  - { plan: a, service: s, servers: [u, u], capacity: 1, rank: low }\n\
+                  - { plan: b, service: s, servers: [], capacity: 1.5, rank: low }\n";
+    let found = reasons(&plans, grants);
+    let range = "is not a whole number from 1 to 10000000 calls/s";
+    let expected = [
+        "plans.yaml:2:".to_owned(),
+        format!("key hash {hash} already belongs to plan \"a\""),
+        "key hash \"zz\" is not 64 hexadecimal digits".to_owned(),
+        "plan \"a\" is already on line 2".to_owned(),
+        format!("grants.yaml:2:36: capacity \"0\" {range}"),
+        "grants.yaml:3:11: plan \"c\" is not in plans.yaml".to_owned(),
+        format!("capacity \"10000001\" {range}"),
+        "rank \"top\" is not urgent, high, normal or low".to_owned(),
+        "grant of service \"s\" to plan \"a\" is already on line 2".to_owned(),
+        "backend server \"u\" is named twice".to_owned(),
+        "servers is empty".to_owned(),
+        format!("capacity \"1.5\" {range}"),
+    ];
+    assert_eq!(found.len(), expected.len(), "{found:#?}");
+    for (found, expected) in found.iter().zip(expected) {
+        assert!(found.contains(&expected), "{found:?} lacks {expected:?}");
+    }
+}
+
+/// Guards against a misspelt key that is silently ignored.
+#[test]
+fn unknown_and_missing_keys_are_refused_with_the_line() {
+    let grants = "grants:\n- plan: depot\n  service: s\n  capacity: 1\n  rank: low\n  sever: [a]\n";
+    let found = reasons(PLANS, grants);
+    assert!(found[0].starts_with("grants.yaml:6:3: "), "{found:?}");
+    assert!(found[0].contains("sever"), "{found:?}");
+    let found = reasons("plans:\n- name: depot\n  home_region: x\n", "grants: []");
+    assert!(found[0].contains("key_hashes"), "{found:?}");
+}
+
+/// Guards against an emptied file that removes each entry.
+#[test]
+fn empty_and_repeated_documents_are_refused() {
+    assert_eq!(reasons("", "").len(), 2);
+    assert_eq!(
+        reasons("plans: []\n---\nplans: []\n", "grants: []").len(),
+        1
+    );
+}
+
+/// Guards against a short text that expands to a large one.
+#[test]
+fn aliases_are_refused() {
+    let found = reasons("plans: &a []\n", "grants: []");
+    assert_eq!(found.len(), 1, "{found:?}");
+}
+
+/// Guards against parsing a text of any size.
+#[test]
+fn oversized_text_is_refused_before_parsing() {
+    let found = reasons(&" ".repeat(MAX_PLANS + 1), "grants: []");
+    assert_eq!(
+        found,
+        ["plans.yaml:1:1: 1048577 bytes exceed the limit of 1048576"]
+    );
+}
+
+/// Guards against a parser budget that refuses a text below the size limit of its list. The default
+/// budget of the parser ends at 250,000 nodes; the densest text has one node in two bytes.
+#[test]
+fn parser_budget_grows_with_the_text() {
+    let text = format!("[{}0]", "0,".repeat(260_000));
+    assert_eq!(yaml::parse::<Vec<u8>>(&text).unwrap().len(), 260_001);
+}
+
+/// Guards against a name that nobody announced passing without a warning.
+#[test]
+fn warnings_name_services_and_servers_that_nobody_announced() {
+    let grants = "grants:\n- { plan: depot, service: stock, servers: [a, b], capacity: 1, rank: low }\n\
+                  - { plan: depot, service: glue, capacity: 1, rank: low }\n";
+    let lists = check(PLANS, grants).unwrap();
+    let announced = Announced::from([("stock".into(), ["a".into()].into())]);
+    let found: Vec<_> = warnings(&lists, &announced)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        found,
+        [
+            "grants.yaml:3:27: service \"glue\" is not announced by any backend server",
+            "grants.yaml:2:47: backend server \"b\" is not announced for service \"stock\"",
+        ]
+    );
+}
+
+/// Guards against a diff that hides a changed value.
+#[test]
+fn diff_names_each_changed_value() {
+    let old = "grants:\n- { plan: depot, service: a, capacity: 1, rank: low }\n\
+               - { plan: depot, service: b, capacity: 1, rank: low }\n";
+    let new = "grants:\n- { plan: depot, service: a, servers: [x, y], capacity: 2, rank: high }\n\
+               - { plan: depot, service: c, capacity: 3, rank: urgent }\n";
+    let changes = diff(&check(PLANS, old).unwrap(), &check(PLANS, new).unwrap());
+    let lines: Vec<_> = changes.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        lines,
+        [
+            "~ grant depot -> a: servers all -> x+y, capacity 1 -> 2, rank low -> high",
+            "- grant depot -> b",
+            "+ grant depot -> c: servers all, capacity 3, rank urgent",
+        ]
+    );
+    let json = serde_json::to_value(&changes[1]).unwrap();
+    assert_eq!(json["action"], "removed");
+    assert_eq!(json["service"], "b");
+}
+
+fn rank() -> impl Strategy<Value = Rank> {
+    prop::sample::select(vec![Rank::Urgent, Rank::High, Rank::Normal, Rank::Low])
+}
+
+/// Names, among them words and numbers that YAML gives a type of their own.
+fn name() -> impl Strategy<Value = String> {
+    let special = [
+        "null", "true", "no", "on", "1", "0x1f", "1e3", "-", "--", "---", "0-1",
+    ];
+    prop_oneof![
+        "[a-z0-9-]{1,63}",
+        prop::sample::select(special.to_vec()).prop_map(str::to_owned)
+    ]
+}
+
+fn lists() -> impl Strategy<Value = Lists> {
+    let plan = (name(), 0_u8..3, name());
+    let grant = (
+        any::<prop::sample::Index>(),
+        name(),
+        prop::collection::btree_set(name(), 0..3),
+        1_u32..=10_000_000,
+        rank(),
+    );
+    (
+        prop::collection::vec(plan, 1..6),
+        prop::collection::vec(grant, 0..8),
+    )
+        .prop_map(|(plans, grants)| {
+            let mut lists = Lists::default();
+            for (name, keys, region) in plans {
+                let plan = Plan {
+                    key_hashes: (0..keys)
+                        .map(|k| Digest::of(format!("{name}/{k}").as_bytes()))
+                        .collect(),
+                    name: name.as_str().into(),
+                    home_region: region.as_str().into(),
+                };
+                lists.plans.insert(plan.name.clone(), plan);
+            }
+            for (index, service, servers, capacity, rank) in grants {
+                let plan = index
+                    .get(&lists.plans.keys().cloned().collect::<Vec<_>>())
+                    .clone();
+                let servers = servers.iter().map(|s| s.as_str().into()).collect();
+                let grant = Grant {
+                    plan,
+                    service: service.as_str().into(),
+                    servers,
+                    capacity,
+                    rank,
+                };
+                lists.grants.insert(grant.key(), grant);
+            }
+            lists.plans.sort_unstable_keys();
+            lists.grants.sort_unstable_keys();
+            lists
+        })
+}
+
+proptest! {
+    #![proptest_config(config(101))]
+
+    /// Guards against a panic of the parser on any bytes.
+    #[test]
+    fn any_bytes_give_an_answer(plans in prop::collection::vec(any::<u8>(), 0..200), grants in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _answer = check(&String::from_utf8_lossy(&plans), &String::from_utf8_lossy(&grants));
+    }
+
+    /// Guards against a panic on texts that come close to a list.
+    #[test]
+    fn damaged_lists_give_an_answer(lists in lists(), cut in any::<prop::sample::Index>(), with in "[-\\[\\]{}:,&*!|>'\"%@`# \n\ta-z0-9é]{0,6}") {
+        let mut text = render_grants(&lists);
+        let at = cut.index(text.len());
+        text.replace_range(at..(at + 3).min(text.len()), &with);
+        if let Err(problems) = check(&render_plans(&lists), &text) {
+            prop_assert!(!problems.is_empty());
+        }
+    }
+
+    /// Guards against a name or number that changes its value when it is written and read again.
+    #[test]
+    fn rendered_lists_parse_to_the_same_lists(lists in lists()) {
+        let read = check(&render_plans(&lists), &render_grants(&lists));
+        prop_assert_eq!(read.as_ref(), Ok(&lists));
+        prop_assert!(diff(&lists, &read.unwrap()).is_empty());
+    }
+
+    /// Guards against a diff that misses a change.
+    #[test]
+    fn diff_is_empty_only_for_equal_lists(old in lists(), new in lists()) {
+        let changes = diff(&old, &new);
+        prop_assert_eq!(changes.is_empty(), old == new);
+        let added = changes.iter().filter(|c| c.action == Action::Added && c.service.is_none()).count();
+        prop_assert_eq!(added, new.plans.keys().filter(|name| !old.plans.contains_key(*name)).count());
+    }
+}
