Add routes: configuration joined with endpoints

Cause: the entry daemon needs one immutable value to decide where a call may go, and a change of one endpoint must not rebuild everything. Conclusion: a property test compares routes, built whole and updated by service, with the definition.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod error;
 pub mod model;
+pub mod routes;
 pub mod wire;
--- /dev/null
+++ b/src/routes.rs
@@ -0,0 +1,386 @@
+//! `Snapshot`: the configuration and the announced endpoints joined into routes.
+//!
+//! A snapshot is built whole and swapped whole by its owner, so a call never sees half of a
+//! version. Routes are held by service behind `Arc`: a change of one service's endpoints rebuilds
+//! only that service.
+
+use {
+    crate::model::{
+        Config, DataCentre, Digest, Endpoint, Grant, PlanName, Region, ServerName, ServerState,
+        ServiceName,
+    },
+    indexmap::{Equivalent, IndexMap},
+    std::{collections::HashMap, fmt, sync::Arc},
+    strum::{Display, EnumCount, EnumIter, IntoEnumIterator},
+};
+
+#[cfg(test)]
+mod tests;
+
+/// How far a backend server is from the daemon.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Display, EnumCount, EnumIter,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Distance {
+    /// In the data centre of the daemon.
+    OwnDataCentre,
+    /// In another data centre of the daemon's region.
+    OwnRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+/// The data centre and region of the daemon that builds a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Location {
+    /// Data centre of the daemon.
+    pub data_centre: DataCentre,
+    /// Region of the daemon.
+    pub region: Region,
+}
+
+impl Location {
+    /// Distance from this location to `endpoint`.
+    pub fn distance(&self, endpoint: &Endpoint) -> Distance {
+        if endpoint.data_centre == self.data_centre {
+            Distance::OwnDataCentre
+        } else if endpoint.region == self.region {
+            Distance::OwnRegion
+        } else {
+            Distance::OtherRegion
+        }
+    }
+}
+
+/// Why a call has no route. No refusal of this kind has run the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RouteRefusal {
+    /// The plan may not use the service, or the plan does not exist.
+    NoGrant,
+    /// No backend server of the service is announced. The route is kept.
+    NoServerAnnounced,
+    /// Backend servers of the service are announced, but none that the grant names.
+    NoGrantedServerAnnounced,
+    /// All granted backend servers that are announced are draining.
+    AllDraining,
+}
+
+/// Backend servers that take new work, grouped by distance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Candidates {
+    serving: Vec<Arc<Endpoint>>,
+    /// End of each distance group in `serving`.
+    ends: [usize; Distance::COUNT],
+}
+
+impl Candidates {
+    /// Groups the serving ones of `endpoints` by their distance from `here`.
+    ///
+    /// ```
+    /// use anvilbeam::{model::{DataCentre, Region}, routes::{Candidates, Location}};
+    /// let here = Location { data_centre: DataCentre::from("a1"), region: Region::from("a") };
+    /// assert!(Candidates::new(&here, &[]).is_empty());
+    /// ```
+    pub fn new(here: &Location, endpoints: &[Arc<Endpoint>]) -> Self {
+        let mut candidates = Self::default();
+        for distance in Distance::iter() {
+            let group = endpoints.iter().filter(|endpoint| {
+                endpoint.state == ServerState::Serving && here.distance(endpoint) == distance
+            });
+            candidates.serving.extend(group.cloned());
+            candidates.ends[distance as usize] = candidates.serving.len();
+        }
+        candidates
+    }
+
+    /// The group at `distance`.
+    pub fn group(&self, distance: Distance) -> &[Arc<Endpoint>] {
+        let index = distance as usize;
+        let start = if index == 0 { 0 } else { self.ends[index - 1] };
+        &self.serving[start..self.ends[index]]
+    }
+
+    /// All groups, the nearest first.
+    pub fn all(&self) -> &[Arc<Endpoint>] {
+        &self.serving
+    }
+
+    /// Whether no backend server takes new work.
+    pub fn is_empty(&self) -> bool {
+        self.serving.is_empty()
+    }
+}
+
+/// Where a call may go.
+#[derive(Clone, Copy, Debug)]
+pub struct Route<'a> {
+    /// The grant that allows the call.
+    pub grant: &'a Grant,
+    /// Backend servers that may run it; never empty.
+    pub candidates: &'a Candidates,
+}
+
+/// Routes of one service.
+#[derive(Debug, Default)]
+struct ServiceRoutes {
+    /// Announced endpoints, sorted by server name.
+    endpoints: Vec<Arc<Endpoint>>,
+    /// Candidates of grants that name no servers.
+    unrestricted: Candidates,
+    /// Candidates of grants that name servers, by plan.
+    restricted: HashMap<PlanName, Result<Candidates, RouteRefusal>>,
+}
+
+impl ServiceRoutes {
+    fn new<'a>(
+        here: &Location,
+        mut endpoints: Vec<Arc<Endpoint>>,
+        grants: impl Iterator<Item = &'a Grant>,
+    ) -> Self {
+        // A server that moved may be in the sets of two data centres: the newer start is kept,
+        // and of one start the draining record, since draining is never taken back.
+        endpoints.sort_by(|a, b| {
+            let newest_first = b.incarnation.cmp(&a.incarnation);
+            let serving = |endpoint: &Endpoint| endpoint.state == ServerState::Serving;
+            let draining_first = serving(a).cmp(&serving(b));
+            let order = a.server.cmp(&b.server).then(newest_first);
+            order.then(draining_first)
+        });
+        endpoints.dedup_by(|later, kept| later.server == kept.server);
+        let restricted = grants
+            .filter(|grant| !grant.servers.is_empty())
+            .map(|grant| {
+                (
+                    grant.plan.clone(),
+                    restrict(here, &endpoints, &grant.servers),
+                )
+            })
+            .collect();
+        Self {
+            unrestricted: Candidates::new(here, &endpoints),
+            endpoints,
+            restricted,
+        }
+    }
+
+    fn candidates(&self, grant: &Grant) -> Result<&Candidates, RouteRefusal> {
+        if self.endpoints.is_empty() {
+            return Err(RouteRefusal::NoServerAnnounced);
+        }
+        if !grant.servers.is_empty() {
+            return match self.restricted.get(&grant.plan) {
+                Some(Ok(candidates)) => Ok(candidates),
+                Some(Err(refusal)) => Err(*refusal),
+                None => Err(RouteRefusal::NoGrant),
+            };
+        }
+        if self.unrestricted.is_empty() {
+            return Err(RouteRefusal::AllDraining);
+        }
+        Ok(&self.unrestricted)
+    }
+}
+
+/// Candidates among the servers that a grant names; `endpoints` is sorted by server name.
+fn restrict(
+    here: &Location,
+    endpoints: &[Arc<Endpoint>],
+    servers: &[ServerName],
+) -> Result<Candidates, RouteRefusal> {
+    let mut granted: Vec<_> = servers
+        .iter()
+        .filter_map(|server| {
+            let found = endpoints.binary_search_by(|endpoint| endpoint.server.cmp(server));
+            found.ok().map(|index| Arc::clone(&endpoints[index]))
+        })
+        .collect();
+    if granted.is_empty() {
+        return Err(RouteRefusal::NoGrantedServerAnnounced);
+    }
+    granted.sort_by(|a, b| a.server.cmp(&b.server));
+    granted.dedup_by(|later, kept| later.server == kept.server);
+    let candidates = Candidates::new(here, &granted);
+    if candidates.is_empty() {
+        return Err(RouteRefusal::AllDraining);
+    }
+    Ok(candidates)
+}
+
+/// Borrowed form of `GrantKey`, so that a lookup allocates nothing.
+#[derive(Hash)]
+struct GrantRef<'a> {
+    plan: &'a str,
+    service: &'a str,
+}
+
+impl Equivalent<crate::model::GrantKey> for GrantRef<'_> {
+    fn equivalent(&self, key: &crate::model::GrantKey) -> bool {
+        self.plan == key.plan.as_str() && self.service == key.service.as_str()
+    }
+}
+
+/// One configuration version joined with the announced endpoints.
+#[derive(Clone)]
+pub struct Snapshot {
+    config: Arc<Config>,
+    here: Arc<Location>,
+    callers: Arc<HashMap<Digest, PlanName>>,
+    /// Indexes of the grants of each service in `config.grants`.
+    grants: Arc<HashMap<ServiceName, Vec<usize>>>,
+    services: IndexMap<ServiceName, Arc<ServiceRoutes>>,
+}
+
+impl Snapshot {
+    /// Joins `config` with `endpoints` as seen from `here`.
+    ///
+    /// ```
+    /// use anvilbeam::{
+    ///     model::{Config, DataCentre, PlanName, Region, ServiceName},
+    ///     routes::{Location, RouteRefusal, Snapshot},
+    /// };
+    /// let here = Location { data_centre: DataCentre::from("a1"), region: Region::from("a") };
+    /// let snapshot = Snapshot::build(Config::default().into(), [].iter(), here);
+    /// let refusal = snapshot.route(&PlanName::from("p"), &ServiceName::from("s")).unwrap_err();
+    /// assert_eq!(refusal, RouteRefusal::NoGrant);
+    /// ```
+    pub fn build<'a>(
+        config: Arc<Config>,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+        here: Location,
+    ) -> Self {
+        let mut by_service: IndexMap<ServiceName, Vec<Arc<Endpoint>>> = IndexMap::new();
+        for endpoint in endpoints {
+            let list = by_service.entry(endpoint.service.clone()).or_default();
+            list.push(Arc::new(endpoint.clone()));
+        }
+        Self::join(config, by_service, Arc::new(here))
+    }
+
+    /// The same endpoints joined with another configuration. Endpoints are shared, not copied.
+    #[must_use]
+    pub fn with_config(&self, config: Arc<Config>) -> Self {
+        let by_service = self.services.iter();
+        let by_service = by_service.map(|(name, routes)| (name.clone(), routes.endpoints.clone()));
+        Self::join(config, by_service.collect(), Arc::clone(&self.here))
+    }
+
+    /// The same configuration with other endpoints for `service`; endpoints of other services
+    /// are ignored. All other services are shared with this snapshot.
+    #[must_use]
+    pub fn with_service<'a>(
+        &self,
+        service: &ServiceName,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+    ) -> Self {
+        let own = endpoints.filter(|endpoint| endpoint.service == *service);
+        let own: Vec<_> = own.cloned().map(Arc::new).collect();
+        let mut next = self.clone();
+        if own.is_empty() {
+            next.services.swap_remove(service);
+            return next;
+        }
+        let grants = grants_of(&self.config, &self.grants, service);
+        let routes = ServiceRoutes::new(&self.here, own, grants);
+        next.services.insert(service.clone(), Arc::new(routes));
+        next
+    }
+
+    fn join(
+        config: Arc<Config>,
+        by_service: IndexMap<ServiceName, Vec<Arc<Endpoint>>>,
+        here: Arc<Location>,
+    ) -> Self {
+        let mut grants: HashMap<ServiceName, Vec<usize>> = HashMap::new();
+        for (index, grant) in config.grants.values().enumerate() {
+            match grants.get_mut(&grant.service) {
+                Some(list) => list.push(index),
+                None => {
+                    grants.insert(grant.service.clone(), vec![index]);
+                }
+            }
+        }
+        let services = by_service
+            .into_iter()
+            .map(|(name, endpoints)| {
+                let own = grants_of(&config, &grants, &name);
+                let routes = ServiceRoutes::new(&here, endpoints, own);
+                (name, Arc::new(routes))
+            })
+            .collect();
+        let callers = config.plans.values().flat_map(|plan| {
+            let hashes = plan.key_hashes.iter();
+            hashes.map(|hash| (*hash, plan.name.clone()))
+        });
+        Self {
+            callers: Arc::new(callers.collect()),
+            grants: Arc::new(grants),
+            services,
+            here,
+            config,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The plan that `key` proves, if any.
+    pub fn authenticate(&self, key: &str) -> Option<&PlanName> {
+        self.callers.get(&Digest::of(key.as_bytes()))
+    }
+
+    /// The route of a call by `plan` to `service`.
+    ///
+    /// # Errors
+    /// The reason why the call has no route; it has not run.
+    pub fn route(&self, plan: &PlanName, service: &ServiceName) -> Result<Route<'_>, RouteRefusal> {
+        let key = GrantRef {
+            plan: plan.as_str(),
+            service: service.as_str(),
+        };
+        let grant = self.config.grants.get(&key).ok_or(RouteRefusal::NoGrant)?;
+        if !self.config.plans.contains_key(plan) {
+            return Err(RouteRefusal::NoGrant);
+        }
+        let routes = self.services.get(service);
+        let routes = routes.ok_or(RouteRefusal::NoServerAnnounced)?;
+        let candidates = routes.candidates(grant)?;
+        Ok(Route { grant, candidates })
+    }
+
+    /// Each announced service with its endpoints, sorted by server name; also draining ones.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Arc<Endpoint>])> {
+        let services = self.services.iter();
+        services.map(|(name, routes)| (name, routes.endpoints.as_slice()))
+    }
+
+    /// Endpoints of `service`, sorted by server name; also draining ones.
+    pub fn endpoints(&self, service: &ServiceName) -> &[Arc<Endpoint>] {
+        let routes = self.services.get(service);
+        routes.map_or(&[], |routes| &routes.endpoints)
+    }
+}
+
+/// Grants of `service`, by the index that `Snapshot` keeps.
+fn grants_of<'a>(
+    config: &'a Config,
+    index: &'a HashMap<ServiceName, Vec<usize>>,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a Grant> {
+    let own = index.get(service).into_iter().flatten();
+    own.filter_map(|at| config.grants.get_index(*at).map(|(_, grant)| grant))
+}
+
+impl fmt::Debug for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Snapshot")
+            .field("version", &self.config.version)
+            .field("plans", &self.config.plans.len())
+            .field("grants", &self.config.grants.len())
+            .field("services", &self.services.len())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/routes/tests.rs
@@ -0,0 +1,180 @@
+use {
+    super::*,
+    crate::model::{DaemonName, GrantKey, Plan, Rank, Version},
+    proptest::{prelude::*, test_runner::RngSeed},
+};
+
+const PLANS: [&str; 3] = ["p0", "p1", "p2"];
+const SERVICES: [&str; 3] = ["s0", "s1", "s2"];
+
+fn here() -> Location {
+    Location {
+        data_centre: DataCentre::from("a1"),
+        region: Region::from("a"),
+    }
+}
+
+fn endpoint(server: u8, state: ServerState, incarnation: u64) -> Endpoint {
+    let region = ["a", "a", "b"][usize::from(server % 3)];
+    Endpoint {
+        server: ServerName::from(&*format!("v{server}")),
+        service: ServiceName::from(SERVICES[usize::from(server / 4)]),
+        daemon: DaemonName::from("d"),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: DataCentre::from(["a1", "a2", "b1"][usize::from(server % 3)]),
+        region: Region::from(region),
+        slots: 1,
+        state,
+        incarnation,
+    }
+}
+
+fn config(grants: &[(usize, usize, Vec<u8>)]) -> Config {
+    let plans = PLANS[..2].iter().map(|name| {
+        let plan = Plan {
+            name: PlanName::from(*name),
+            key_hashes: vec![Digest::of(name.as_bytes())],
+            home_region: Region::from("a"),
+        };
+        (plan.name.clone(), plan)
+    });
+    let grants = grants.iter().map(|(plan, service, servers)| {
+        let servers = servers.iter().map(|n| ServerName::from(&*format!("v{n}")));
+        let grant = Grant {
+            plan: PlanName::from(PLANS[*plan]),
+            service: ServiceName::from(SERVICES[*service]),
+            servers: servers.collect(),
+            capacity: 1,
+            rank: Rank::Normal,
+        };
+        (grant.key(), grant)
+    });
+    Config {
+        version: Version(1),
+        plans: plans.collect(),
+        grants: grants.collect(),
+    }
+}
+
+fn endpoints_strategy() -> impl Strategy<Value = Vec<Endpoint>> {
+    prop::collection::vec((0u8..12, any::<bool>(), 0u64..3), 0..16).prop_map(|list| {
+        let list = list.into_iter().map(|(server, draining, incarnation)| {
+            let state = if draining {
+                ServerState::Draining
+            } else {
+                ServerState::Serving
+            };
+            endpoint(server, state, incarnation)
+        });
+        list.collect()
+    })
+}
+
+/// The route by the definition, without any index.
+fn oracle(
+    config: &Config,
+    endpoints: &[Endpoint],
+    plan: &str,
+    service: &str,
+) -> Result<Vec<(Distance, ServerName)>, RouteRefusal> {
+    let key = GrantKey {
+        plan: plan.into(),
+        service: service.into(),
+    };
+    if !config.plans.contains_key(plan) {
+        return Err(RouteRefusal::NoGrant);
+    }
+    let grant = config.grants.get(&key).ok_or(RouteRefusal::NoGrant)?;
+    let own: Vec<_> = endpoints
+        .iter()
+        .filter(|e| e.service.as_str() == service)
+        .collect();
+    if own.is_empty() {
+        return Err(RouteRefusal::NoServerAnnounced);
+    }
+    let granted: Vec<_> = own
+        .into_iter()
+        .filter(|e| grant.servers.is_empty() || grant.servers.contains(&e.server))
+        .collect();
+    if granted.is_empty() {
+        return Err(RouteRefusal::NoGrantedServerAnnounced);
+    }
+    let current = |e: &Endpoint| {
+        let same = granted.iter().filter(|o| o.server == e.server);
+        let newest = same.clone().map(|o| o.incarnation).max();
+        let drains = |o: &&Endpoint| o.state == ServerState::Draining;
+        !same
+            .into_iter()
+            .any(|o| Some(o.incarnation) == newest && drains(o))
+    };
+    let serving = granted.iter().copied().filter(|e| current(e));
+    let mut serving: Vec<_> = serving
+        .map(|e| (here().distance(e), e.server.clone()))
+        .collect();
+    serving.sort();
+    serving.dedup();
+    if serving.is_empty() {
+        return Err(RouteRefusal::AllDraining);
+    }
+    Ok(serving)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x5eed_0001),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a route to a server, plan or service that the snapshot lacks, a wrong
+    /// refusal, and an update by service that differs from a build from nothing.
+    #[test]
+    fn routes_match_the_definition(
+        first in endpoints_strategy(),
+        second in endpoints_strategy(),
+        grants in prop::collection::vec((0usize..3, 0usize..3, prop::collection::vec(0u8..12, 0..4)), 0..8),
+        other in prop::collection::vec((0usize..3, 0usize..3, prop::collection::vec(0u8..12, 0..4)), 0..8),
+    ) {
+        let config = Arc::new(config(&grants));
+        let old = Snapshot::build(Arc::new(self::config(&other)), first.iter(), here());
+        let mut updated = old.with_config(Arc::clone(&config));
+        for service in SERVICES {
+            updated = updated.with_service(&service.into(), second.iter());
+        }
+        let built = Snapshot::build(Arc::clone(&config), second.iter(), here());
+        for (plan, service) in PLANS.iter().flat_map(|p| SERVICES.map(|s| (*p, s))) {
+            let expected = oracle(&config, &second, plan, service);
+            for snapshot in [&built, &updated] {
+                let found = snapshot.route(&plan.into(), &service.into());
+                let found = found.map(|route| {
+                    let groups = Distance::iter().flat_map(|d| {
+                        let group = route.candidates.group(d).iter();
+                        group.map(move |e| (d, e.server.clone()))
+                    });
+                    groups.collect::<Vec<_>>()
+                });
+                prop_assert_eq!(&found, &expected);
+            }
+        }
+    }
+}
+
+/// Guards against an update that rebuilds the services that did not change.
+#[test]
+fn other_services_are_shared() {
+    let all = [0, 4, 8].map(|n| endpoint(n, ServerState::Serving, 0));
+    let old = Snapshot::build(Arc::new(config(&[])), all.iter(), here());
+    let new = old.with_service(&"s0".into(), [endpoint(1, ServerState::Serving, 0)].iter());
+    let shared = |name: &str| Arc::ptr_eq(&old.services[name], &new.services[name]);
+    assert!(shared("s1") && shared("s2") && !shared("s0"));
+}
+
+/// Guards against a key that proves a plan that the snapshot lacks.
+#[test]
+fn keys_prove_only_plans_in_force() {
+    let snapshot = Snapshot::build(Arc::new(config(&[])), [].iter(), here());
+    assert_eq!(snapshot.authenticate("p1"), Some(&PlanName::from("p1")));
+    assert_eq!(snapshot.authenticate("p2"), None);
+    let empty = snapshot.with_config(Arc::default());
+    assert_eq!(empty.authenticate("p1"), None);
+}
