--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod refusal;
 pub mod serve;
 pub mod stand_in;
+pub mod routes;
 pub mod wire;
 pub mod yaml;
