Add the settings of the daemon and the control replicas

Cause: both programs read addresses, members and tokens from one YAML file. Change: settings parses units and levels into typed fields, refuses unknown keys, reads the token file and checks the combination. Conclusion: errors name file, line and key; a secret is never printed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod lists;
 pub mod model;
 pub mod operator_api;
+pub mod settings;
 pub mod wire;
 pub mod yaml;
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,197 @@
+//! Tests of the settings.
+
+use {
+    super::{Control, Daemon, LogFormat, Secret, parse_duration, parse_size},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::{fs, path::Path, time::Duration},
+};
+
+const DAEMON: &str = "\
+name: d1
+region: lothian
+data_centre: lothian-a
+caller_address: 127.0.0.1:0
+local_address: 127.0.0.1:0
+peer_address: 127.0.0.1:0
+control: [127.0.0.1:7000]
+claims: { lothian: [127.0.0.1:7100] }
+mesh_token: 0123456789abcdef
+default_timeout: 500ms
+log: { level: debug, format: json }
+";
+
+const CONTROL: &str = "\
+name: c1
+group: config
+region: lothian
+data_centre: lothian-a
+peer_address: 127.0.0.1:0
+operator_address: 127.0.0.1:0
+data_folder: data
+bootstrap: [{ name: c1, address: 127.0.0.1:0 }]
+operators:
+- name: ann
+  token_hash: ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad
+mesh_token: 0123456789abcdef
+";
+
+fn daemon(from: &str, to: &str) -> String {
+    assert!(DAEMON.contains(from), "{from:?} is not in the sample");
+    let text = DAEMON.replace(from, to);
+    let e = Daemon::parse(Path::new("d.yaml"), &text).unwrap_err();
+    e.to_string()
+}
+
+fn control(from: &str, to: &str) -> String {
+    assert!(CONTROL.contains(from), "{from:?} is not in the sample");
+    let text = CONTROL.replace(from, to);
+    let e = Control::parse(Path::new("c.yaml"), &text).unwrap_err();
+    e.to_string()
+}
+
+/// Guards against a setting that is read with the wrong unit or default.
+#[test]
+fn settings_are_typed() {
+    let cfg = Daemon::parse(Path::new("d.yaml"), DAEMON).unwrap();
+    assert_eq!(cfg.default_timeout, Duration::from_millis(500));
+    assert_eq!(cfg.log.level, log::LevelFilter::Debug);
+    assert_eq!(cfg.log.format, LogFormat::Json);
+    assert_eq!(cfg.claims["lothian"].len(), 1);
+    let cfg = Control::parse(Path::new("etc/c.yaml"), CONTROL).unwrap();
+    assert_eq!(cfg.data_folder, Path::new("etc/data"));
+    assert_eq!(cfg.segment_size, 8 << 20);
+    assert_eq!(cfg.operator("abc").unwrap().name, "ann");
+    assert!(cfg.operator("abd").is_none());
+}
+
+/// Guards against an error that does not say where to look.
+#[test]
+fn errors_name_file_line_and_key() {
+    let e = daemon("default_timeout: 500ms", "default_timeout: 500");
+    assert!(e.starts_with("d.yaml:10:18: "), "{e}");
+    assert!(e.contains("\"500\" is not a duration"), "{e}");
+    let e = daemon("log:", "logs:");
+    assert!(e.starts_with("d.yaml:11:1: ") && e.contains("logs"), "{e}");
+    let e = daemon("level: debug", "level: loud");
+    assert!(e.contains("level \"loud\" is not"), "{e}");
+    let e = daemon("[127.0.0.1:7000]", "[]");
+    assert_eq!(
+        e,
+        "d.yaml:7: control: is empty; name the peer addresses of the config group"
+    );
+}
+
+/// Guards against daemons that start with settings that cannot work.
+#[test]
+fn wrong_combinations_of_a_daemon_are_refused() {
+    let cases = [
+        ("name: d1", "name: D1", "name: name \"D1\" contains 'D'"),
+        (
+            "[127.0.0.1:7000]",
+            "[127.0.0.1:0]",
+            "not an address to connect to",
+        ),
+        ("[127.0.0.1:7100]", "[]", "region lothian has no addresses"),
+        ("7100]", "7100, 127.0.0.1:7100]", "named twice"),
+        (
+            "mesh_token: 0123456789abcdef\n",
+            "",
+            "mesh_token: is missing",
+        ),
+        ("0123456789abcdef", "short", "shorter than 16"),
+        (
+            "peer_address: 127.0.0.1:0",
+            "peer_address: 0.0.0.0:0",
+            "set advertise",
+        ),
+        (
+            "caller_address: 127.0.0.1:0\nlocal_address: 127.0.0.1:0",
+            "caller_address: 127.0.0.1:9\nlocal_address: 127.0.0.1:9",
+            "d.yaml:5: local_address: 127.0.0.1:9 is also caller_address",
+        ),
+    ];
+    for (from, to, reason) in cases {
+        let e = daemon(from, to);
+        assert!(e.contains(reason), "{e:?} lacks {reason:?}");
+    }
+}
+
+/// Guards against replicas that start with settings that cannot work.
+#[test]
+fn wrong_combinations_of_a_replica_are_refused() {
+    let cases = [
+        (
+            "group: config",
+            "group: claims",
+            "a claims group has no operators",
+        ),
+        (
+            "operator_address: 127.0.0.1:0\n",
+            "",
+            "the config group needs it",
+        ),
+        (
+            "name: c1, address",
+            "name: c2, address",
+            "not an address to connect to",
+        ),
+        (
+            "mesh_token",
+            "segment_size: 1MiB\nmesh_token",
+            "between 4MiB and 1GiB",
+        ),
+        ("ba7816", "xx7816", "c.yaml:11:"),
+        ("- name: ann", "- name: Ann", "operators: name \"Ann\""),
+    ];
+    for (from, to, reason) in cases {
+        let e = control(from, to);
+        assert!(e.contains(reason), "{e:?} lacks {reason:?}");
+    }
+}
+
+/// Guards against a token file that is ignored, and against a token in the log.
+#[test]
+fn token_is_read_from_its_file_and_not_printed() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("d.yaml");
+    let text = DAEMON.replace("mesh_token: 0123456789abcdef", "mesh_token_file: token");
+    fs::write(&path, &text).unwrap();
+    let e = Daemon::load(&path).unwrap_err().to_string();
+    assert!(
+        e.contains("d.yaml:9: mesh_token_file: read settings"),
+        "{e}"
+    );
+    fs::write(folder.path().join("token"), "fedcba9876543210\n").unwrap();
+    let cfg = Daemon::load(&path).unwrap();
+    assert_eq!(cfg.token(), "fedcba9876543210");
+    assert!(!format!("{cfg:?}").contains("fedcba"));
+    assert_eq!(format!("{:?}", Secret::from("x")), "Secret(..)");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(102),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic or an overflow of the unit parsers.
+    #[test]
+    fn units_give_an_answer(text in "[0-9]{0,22}[a-zA-Zé ]{0,4}") {
+        if let Ok(duration) = parse_duration(&text) {
+            prop_assert!(duration <= Duration::from_hours(24));
+        }
+        if let Ok(size) = parse_size(&text) {
+            prop_assert!(text.ends_with('B') && (size > 0 || text.starts_with('0')));
+        }
+    }
+
+    /// Guards against a panic of the parsers on any settings file.
+    #[test]
+    fn damaged_settings_give_an_answer(at in 0..DAEMON.len(), with in "[-{}:,&* \n0-9a-z]{0,8}") {
+        let mut text = DAEMON.to_owned();
+        text.replace_range(at..(at + 4).min(DAEMON.len()), &with);
+        let _answer = Daemon::parse(Path::new("d.yaml"), &text);
+        let _answer = Control::parse(Path::new("d.yaml"), &text);
+    }
+}
--- /dev/null
+++ b/src/settings/units.rs
@@ -0,0 +1,117 @@
+//! Units in settings: durations such as `3s` and sizes such as `64MiB`.
+
+use {
+    log::LevelFilter,
+    serde::{Deserialize, Deserializer, Serializer, de::Error as _},
+    serde_with::{DeserializeAs, SerializeAs},
+    std::time::Duration,
+};
+
+/// Longest duration in a setting.
+const MAX_DURATION: Duration = Duration::from_hours(24);
+
+/// Adapter for `serde_as`: a [`Duration`] as `500ms` or `3s`, a `u64` size as `64MiB`,
+/// a log level in lower case.
+#[derive(Debug)]
+pub struct Human;
+
+impl SerializeAs<Duration> for Human {
+    fn serialize_as<S: Serializer>(source: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{}ms", source.as_millis()))
+    }
+}
+
+impl<'de> DeserializeAs<'de, Duration> for Human {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_duration(&text).map_err(D::Error::custom)
+    }
+}
+
+impl SerializeAs<u64> for Human {
+    fn serialize_as<S: Serializer>(source: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{source}B"))
+    }
+}
+
+impl<'de> DeserializeAs<'de, u64> for Human {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_size(&text).map_err(D::Error::custom)
+    }
+}
+
+impl SerializeAs<LevelFilter> for Human {
+    fn serialize_as<S: Serializer>(source: &LevelFilter, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&source.as_str().to_lowercase())
+    }
+}
+
+impl<'de> DeserializeAs<'de, LevelFilter> for Human {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<LevelFilter, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(|e| {
+            D::Error::custom(format!(
+                "level {text:?} is not error, warn, info, debug, trace or off: {e}"
+            ))
+        })
+    }
+}
+
+/// A duration of `ms`, `s`, `m` or `h`, from 1 ms to 24 h.
+///
+/// ```
+/// use {anvilbeam::settings::parse_duration, std::time::Duration};
+/// assert_eq!(parse_duration("500ms").unwrap(), Duration::from_millis(500));
+/// assert!(parse_duration("3").unwrap_err().contains("\"3\""));
+/// ```
+///
+/// # Errors
+/// The reason, with the value.
+pub fn parse_duration(text: &str) -> Result<Duration, String> {
+    let expected = || format!("{text:?} is not a duration such as 500ms, 3s or 2m");
+    let (count, unit) = split(text).ok_or_else(expected)?;
+    let millis: u64 = match unit {
+        "ms" => 1,
+        "s" => 1000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return Err(expected()),
+    };
+    let duration = Duration::from_millis(count.saturating_mul(millis));
+    if duration.is_zero() || duration > MAX_DURATION {
+        return Err(format!("{text:?} is not between 1ms and 24h"));
+    }
+    Ok(duration)
+}
+
+/// A size of `B`, `KiB`, `MiB` or `GiB`, in bytes.
+///
+/// ```
+/// use anvilbeam::settings::parse_size;
+/// assert_eq!(parse_size("64MiB").unwrap(), 64 * 1024 * 1024);
+/// ```
+///
+/// # Errors
+/// The reason, with the value.
+pub fn parse_size(text: &str) -> Result<u64, String> {
+    let expected = || format!("{text:?} is not a size such as 512B, 64KiB or 64MiB");
+    let (count, unit) = split(text).ok_or_else(expected)?;
+    let shift = match unit {
+        "B" => 0,
+        "KiB" => 10,
+        "MiB" => 20,
+        "GiB" => 30,
+        _ => return Err(expected()),
+    };
+    count
+        .checked_mul(1 << shift)
+        .ok_or_else(|| format!("{text:?} is too large"))
+}
+
+/// The digits of `text` as a number, and the unit after them.
+fn split(text: &str) -> Option<(u64, &str)> {
+    let end = text.find(|c: char| !c.is_ascii_digit())?;
+    let count = text[..end].parse().ok()?;
+    Some((count, &text[end..]))
+}
