--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod routes;
 pub mod serve;
 pub mod stand_in;
+pub mod settings;
 pub mod wire;
 pub mod yaml;
