--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod refusal;
 pub mod routes;
 pub mod serve;
-pub mod stand_in;
 pub mod settings;
+pub mod stand_in;
 pub mod wire;
 pub mod yaml;
