--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
+pub mod balance;
 pub mod error;
 pub mod model;
+pub mod retry;
 pub mod routes;
 pub mod wire;
