--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,11 @@
 
 pub mod announce;
 pub mod backend;
+pub mod balance;
 pub mod body;
 pub mod call;
 pub mod claim_client;
 pub mod claims;
-pub mod balance;
 pub mod error;
 pub mod lists;
 pub mod model;
