Add the replicated log: reducer, data folder and replica thread

The config group and the claims groups need a log with majority commit that survives lost disks. The reducer has no I/O; the thread stores and syncs a batch once before it sends, applies or answers. The identity of a replica is kept in the log segments, so it is lost together with the votes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,7 @@
 
 pub mod error;
 pub mod model;
+pub mod raft;
+pub mod replica;
+pub mod wal;
 pub mod wire;
--- /dev/null
+++ b/src/raft/mod.rs
@@ -0,0 +1,430 @@
+//! The replicated log: a reducer without I/O, clock or randomness of its own.
+//!
+//! The shell feeds a batch of events to [`Raft::handle`], then takes the effects of the whole
+//! batch from [`Raft::flush`] and runs them in the order of the fields of [`Effects`]. All that
+//! is to be persisted is written and synced before anything else, so the reducer treats what it
+//! handed out as durable.
+//!
+//! Reads are confirmed by a heartbeat round: a read notes the commit index, and is released when
+//! a quorum has answered a heartbeat that was sent after the read came in. No later leader can
+//! have existed at that time, whatever the clocks of the replicas do.
+//!
+//! A group is created by writing the same list of voters, each with the identity of its data
+//! folder, into every voter's folder once ([`crate::wal::bootstrap`]). A replica that lost its
+//! disk has a new identity, which is not on that list, so it cannot create the group again.
+
+mod election;
+mod log;
+mod members;
+mod replicate;
+mod types;
+
+#[cfg(test)]
+mod tests;
+
+pub use types::{
+    Body, Entry, HardState, Member, MemberChange, MemberRole, Message, Payload, Position,
+    ReplicaId, Snapshot,
+};
+
+use {
+    bytes::Bytes,
+    indexmap::{IndexMap, IndexSet},
+    log::Log,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Largest command in bytes.
+pub const MAX_COMMAND: usize = 1024 * 1024;
+/// Most members in a list; bounds the size of messages and records that hold one.
+pub const MAX_MEMBERS: usize = 32;
+/// Longest name of a member in bytes.
+pub const MAX_NAME: usize = 256;
+/// Largest snapshot that a replica accepts, in bytes.
+pub const MAX_SNAPSHOT: u64 = 1024 * 1024 * 1024;
+
+/// Limits and times of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Least time without a leader before an election; the random part is at most as long.
+    pub election_timeout: Duration,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Entry bytes in one append message.
+    pub append_bytes: usize,
+    /// Append messages with entries that may be unanswered for each follower.
+    pub appends_in_flight: usize,
+    /// Snapshot bytes in one message.
+    pub chunk_bytes: usize,
+    /// Entries that stay in memory behind a snapshot for followers that lag a little.
+    pub trailing_entries: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            election_timeout: Duration::from_secs(1),
+            heartbeat: Duration::from_millis(150),
+            append_bytes: 1024 * 1024,
+            appends_in_flight: 8,
+            chunk_bytes: 1024 * 1024,
+            trailing_entries: 4096,
+        }
+    }
+}
+
+/// What a replica starts with: the contents of its data folder.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Term, vote and group.
+    pub hard: HardState,
+    /// Latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// An input of the reducer. The number in a request returns in its [`Answer`].
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; due at [`Raft::deadline`].
+    Tick,
+    /// A message came in.
+    Message(Message),
+    /// Appends a command.
+    Propose(u64, Bytes),
+    /// Asks for confirmation that this replica leads and has applied all accepted commands.
+    Read(u64),
+    /// Changes the member list.
+    Change(u64, MemberChange),
+    /// Hands the leadership to a voter.
+    Transfer(u64, ReplicaId),
+    /// The shell has stored a snapshot of the state machine.
+    Compacted(Snapshot),
+}
+
+/// Effects of one batch, in the order in which they are run.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// Snapshot of the leader to store, and to load into the state machine before `apply`.
+    pub install: Option<Snapshot>,
+    /// Position to which the stored log is reset, without any entries.
+    pub reset: Option<Position>,
+    /// Term, vote and group to store.
+    pub hard: Option<HardState>,
+    /// Entries to store; the stored log ends with them.
+    pub entries: Vec<Entry>,
+    /// Messages to send.
+    pub send: Vec<(Member, Message)>,
+    /// Committed entries in order, with the number of the proposal that waits for them.
+    pub apply: Vec<(Entry, Option<u64>)>,
+    /// Answers to give.
+    pub answers: Vec<(u64, Answer)>,
+}
+
+/// Answer to a request that is not answered by applying an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Not done: this replica does not lead; names the leader if it is known.
+    NotLeader(Option<Member>),
+    /// Leadership was lost; the outcome is unknown.
+    Lost,
+    /// Not done, for this reason.
+    Refused(String),
+    /// The request has been done, or for a read: the state may be read now.
+    Done,
+}
+
+/// Role of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether an election would succeed.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads the group.
+    Leader,
+}
+
+#[derive(Debug)]
+enum State {
+    Follower,
+    Candidate {
+        pre: bool,
+        votes: IndexSet<ReplicaId>,
+    },
+    Leader(Leader),
+}
+
+/// State that only a leader has.
+#[derive(Debug, Default)]
+struct Leader {
+    peers: IndexMap<ReplicaId, Progress>,
+    heartbeat_at: Option<Instant>,
+    /// The next flush sends to each peer even if there are no entries.
+    broadcast: bool,
+    /// Current heartbeat round.
+    round: u64,
+    /// Reads that no round covers yet.
+    waiting: Vec<u64>,
+    /// Reads by the round that confirms them.
+    reads: VecDeque<(u64, Vec<u64>)>,
+    /// The entry that opened the term; reads and member changes wait until it is committed.
+    first_index: u64,
+}
+
+/// What a leader knows of another replica.
+#[derive(Debug)]
+struct Progress {
+    matched: u64,
+    next: u64,
+    round: u64,
+    heard: Instant,
+    /// Last index of each unanswered append.
+    in_flight: VecDeque<u64>,
+    /// Snapshot on its way: index, next offset, whether that part is unanswered.
+    snapshot: Option<(u64, u64, bool)>,
+}
+
+/// A replica of the log.
+///
+/// ```
+/// use {
+///     anvilbeam::raft::{Config, Event, Member, MemberRole, Raft, ReplicaId, Role, Snapshot, Stored},
+///     std::time::{Duration, Instant},
+/// };
+/// let me = Member {
+///     id: ReplicaId(1),
+///     name: "a".to_owned(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+///     role: MemberRole::Voter,
+/// };
+/// let snapshot = Snapshot { members: vec![me.clone()], ..Snapshot::default() };
+/// let stored = Stored { snapshot: Some(snapshot), ..Stored::default() };
+/// let now = Instant::now();
+/// let mut raft = Raft::new(Config::default(), me, stored, now, 0);
+/// raft.handle(Event::Tick, now + Duration::from_secs(3), 0);
+/// let effects = raft.flush(now + Duration::from_secs(3));
+/// assert_eq!(raft.role(), Role::Leader);
+/// assert_eq!(effects.apply.len(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Raft {
+    cfg: Config,
+    me: Member,
+    hard: HardState,
+    log: Log,
+    snapshot: Option<Snapshot>,
+    commit: u64,
+    applied: u64,
+    state: State,
+    leader: Option<Member>,
+    /// When the leader was last heard.
+    leader_heard: Option<Instant>,
+    election_at: Instant,
+    /// Parts of a snapshot that is being received.
+    incoming: Option<(Position, Vec<u8>)>,
+    /// Proposals by the index of their entry.
+    proposals: BTreeMap<u64, u64>,
+    /// Lowest index that was changed since the last flush.
+    dirty_from: Option<u64>,
+    out: Effects,
+}
+
+impl Raft {
+    /// Starts a replica from what its data folder holds; `random` spreads the first election.
+    pub fn new(cfg: Config, me: Member, stored: Stored, now: Instant, random: u64) -> Self {
+        let snapshot = stored.snapshot;
+        let (base, members) = snapshot
+            .as_ref()
+            .map_or((Position::default(), Vec::new()), |s| {
+                (s.at, s.members.clone())
+            });
+        let mut log = Log::new(base, members);
+        for entry in stored.entries {
+            log.append(entry);
+        }
+        let mut raft = Self {
+            cfg,
+            me,
+            hard: stored.hard,
+            log,
+            snapshot,
+            commit: base.index,
+            applied: base.index,
+            state: State::Follower,
+            leader: None,
+            leader_heard: None,
+            election_at: now,
+            incoming: None,
+            proposals: BTreeMap::new(),
+            dirty_from: None,
+            out: Effects::default(),
+        };
+        raft.reset_election(now, random);
+        raft
+    }
+
+    /// Takes one event in. `random` is any number; it spreads the next election.
+    pub fn handle(&mut self, event: Event, now: Instant, random: u64) {
+        match event {
+            Event::Tick => self.tick(now, random),
+            Event::Message(message) => self.message(message, now, random),
+            Event::Propose(id, command) => self.propose(id, command),
+            Event::Read(id) => self.read(id),
+            Event::Change(id, change) => self.change(id, change, now),
+            Event::Transfer(id, to) => self.transfer(id, to),
+            Event::Compacted(snapshot) => self.compacted(snapshot),
+        }
+    }
+
+    /// Takes the effects of all events since the last call.
+    pub fn flush(&mut self, now: Instant) -> Effects {
+        self.advance_commit(now);
+        self.start_read_round();
+        self.replicate();
+        self.release_reads();
+        self.take_committed();
+        if let Some(from) = self.dirty_from.take() {
+            self.out.entries = self.log.slice(from, usize::MAX);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the next [`Event::Tick`] is due.
+    pub fn deadline(&self) -> Instant {
+        match &self.state {
+            State::Leader(leader) => leader.heartbeat_at.unwrap_or(self.election_at),
+            _ => self.election_at,
+        }
+    }
+
+    /// Role at present.
+    pub const fn role(&self) -> Role {
+        match &self.state {
+            State::Follower => Role::Follower,
+            State::Candidate { pre: true, .. } => Role::PreCandidate,
+            State::Candidate { .. } => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Term at present.
+    pub const fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Term, vote and group at present.
+    pub const fn hard_state(&self) -> HardState {
+        self.hard
+    }
+
+    /// The leader, if it is known.
+    pub const fn leader(&self) -> Option<&Member> {
+        self.leader.as_ref()
+    }
+
+    /// This replica.
+    pub const fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Index up to which entries are known to be committed.
+    pub const fn commit_index(&self) -> u64 {
+        self.commit
+    }
+
+    /// Position of the last entry in the log.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Member list in force.
+    pub fn members(&self) -> &[Member] {
+        self.log.members().1
+    }
+
+    /// Snapshot record for the state after the entry at `index`, without contents; `None` if the
+    /// log does not hold that entry.
+    pub fn snapshot_at(&self, index: u64) -> Option<Snapshot> {
+        let term = self.log.term_at(index)?;
+        Some(Snapshot {
+            at: Position { index, term },
+            members: self.log.members_at(index).to_vec(),
+            data: Bytes::new(),
+        })
+    }
+
+    fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.members()
+            .iter()
+            .filter(|member| member.role == MemberRole::Voter)
+    }
+
+    fn is_voter(&self, id: ReplicaId) -> bool {
+        self.voters().any(|member| member.id == id)
+    }
+
+    fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The highest value that a quorum of the voters has reached.
+    fn reached_by_quorum(&self, value: impl Fn(ReplicaId) -> u64) -> u64 {
+        let mut values: Vec<_> = self.voters().map(|member| value(member.id)).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    fn reset_election(&mut self, now: Instant, random: u64) {
+        let span = self.cfg.election_timeout.as_nanos().max(1) as u64;
+        self.election_at = now + self.cfg.election_timeout + Duration::from_nanos(random % span);
+    }
+
+    fn send(&mut self, to: Member, term: u64, body: Body) {
+        let message = Message {
+            group: self.hard.group,
+            from: self.me.clone(),
+            to: to.id,
+            term,
+            body,
+        };
+        self.out.send.push((to, message));
+    }
+
+    fn append(&mut self, payload: Payload) -> u64 {
+        let at = Position {
+            index: self.log.last().index + 1,
+            term: self.hard.term,
+        };
+        self.mark_dirty(at.index);
+        self.log.append(Entry { at, payload });
+        at.index
+    }
+
+    fn mark_dirty(&mut self, index: u64) {
+        self.dirty_from = Some(self.dirty_from.map_or(index, |from| from.min(index)));
+    }
+
+    fn set_hard(&mut self, hard: HardState) {
+        self.hard = hard;
+        self.out.hard = Some(hard);
+    }
+
+    fn take_committed(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
+                return;
+            };
+            self.applied += 1;
+            let proposal = self.proposals.remove(&self.applied);
+            self.out.apply.push((entry, proposal));
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/tests.rs
@@ -0,0 +1,256 @@
+//! Groups of running replicas on real folders.
+
+use {
+    super::{Handle, Machine, Options, ProposeError, Role, identity, start},
+    crate::{
+        error::{Error, Result},
+        raft::{Config, Member, MemberChange, MemberRole, Message, ReplicaId},
+        wal, wire,
+    },
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::{Arc, Mutex, PoisonError},
+        thread::JoinHandle,
+        time::Duration,
+    },
+    tempfile::TempDir,
+};
+
+type Lines = Vec<Vec<u8>>;
+type Running = (Handle<Lines>, JoinHandle<Result<()>>);
+
+/// Delivers messages between the replicas of one process.
+#[derive(Clone, Default)]
+struct Network(Arc<Mutex<HashMap<ReplicaId, Handle<Lines>>>>);
+
+impl Network {
+    fn deliver(&self, to: &Member, message: Message) {
+        let handles = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(handle) = handles.get(&to.id) {
+            handle.message(message.from.id, message);
+        }
+    }
+
+    fn start(&self, options: Options) -> Running {
+        let network = self.clone();
+        let (handle, thread) = start(options, machine(), move |to, message| {
+            network.deliver(to, message);
+        })
+        .unwrap();
+        self.0.lock().unwrap().insert(handle.id(), handle.clone());
+        (handle, thread)
+    }
+}
+
+fn machine() -> Machine<Lines> {
+    Machine {
+        state: Vec::new(),
+        apply: |lines, _, command| {
+            lines.push(command.to_vec());
+            lines.len().to_string().into_bytes()
+        },
+        snapshot: wire::encode,
+        restore: wire::decode,
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn options(folder: &Path) -> Options {
+    Options {
+        raft: Config {
+            election_timeout: Duration::from_millis(300),
+            heartbeat: Duration::from_millis(30),
+            trailing_entries: 2,
+            ..Config::default()
+        },
+        snapshot_after: 2000,
+        ..Options::new("replica", address(1), folder.to_owned())
+    }
+}
+
+fn voter(id: ReplicaId) -> Member {
+    Member {
+        id,
+        name: "replica".to_owned(),
+        address: address(1),
+        role: MemberRole::Voter,
+    }
+}
+
+fn folders(root: &TempDir, count: usize) -> Vec<PathBuf> {
+    let folders: Vec<_> = (0..count)
+        .map(|i| root.path().join(i.to_string()))
+        .collect();
+    let ids = folders.iter().map(|folder| identity(folder).unwrap());
+    let voters: Vec<_> = ids.map(voter).collect();
+    for folder in &folders {
+        wal::bootstrap(folder, &voters).unwrap();
+    }
+    folders
+}
+
+async fn leader(running: &[Running]) -> &Handle<Lines> {
+    loop {
+        let found = running
+            .iter()
+            .find(|(handle, _)| handle.status().role == Role::Leader);
+        if let Some((handle, _)) = found {
+            return handle;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Proposes until it is accepted; the leader may change meanwhile.
+async fn propose(running: &[Running], line: &str) {
+    while leader(running).await.propose(line.into()).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Reads the state from a confirmed leader; the leader may change meanwhile.
+async fn read(running: &[Running]) -> Lines {
+    loop {
+        if let Ok(lines) = leader(running).await.read(Clone::clone).await {
+            return lines;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until a replica has applied `count` lines.
+async fn applied(handle: &Handle<Lines>, count: usize) -> Lines {
+    loop {
+        let lines = handle.local(Clone::clone).await.unwrap();
+        if lines.len() >= count {
+            return lines;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn stop(running: Running) {
+    running.0.stop();
+    running.1.join().unwrap().unwrap();
+}
+
+/// Guards against the loss of accepted commands over a restart of the whole group.
+#[tokio::test]
+async fn restart_keeps_accepted_commands() {
+    let root = TempDir::new().unwrap();
+    let folders = folders(&root, 3);
+    for round in 0..2 {
+        let network = Network::default();
+        let running: Vec<_> = folders.iter().map(|f| network.start(options(f))).collect();
+        for i in 0..20 {
+            propose(&running, &format!("{round}-{i}")).await;
+        }
+        let lines = read(&running).await;
+        for line in (0..=round).flat_map(|r| (0..20).map(move |i| format!("{r}-{i}"))) {
+            assert!(lines.contains(&line.clone().into_bytes()), "{line} is lost");
+        }
+        running.into_iter().for_each(stop);
+    }
+}
+
+/// Guards against a replacement replica that never gets what a snapshot has removed from the log.
+#[tokio::test]
+async fn new_identity_joins_from_snapshot_and_becomes_voter() {
+    let root = TempDir::new().unwrap();
+    let folders = folders(&root, 3);
+    let network = Network::default();
+    let mut running: Vec<_> = folders.iter().map(|f| network.start(options(f))).collect();
+    for i in 0..100 {
+        propose(&running, &format!("line {i}")).await;
+    }
+    let lost = running.pop().unwrap();
+    let lost_id = lost.0.id();
+    stop(lost);
+    std::fs::remove_dir_all(&folders[2]).unwrap();
+    let new = network.start(options(&folders[2]));
+    assert_ne!(new.0.id(), lost_id);
+    let changes = [
+        MemberChange::Remove(lost_id),
+        MemberChange::Add(voter(new.0.id())),
+        MemberChange::Promote(new.0.id()),
+    ];
+    for change in changes {
+        while leader(&running)
+            .await
+            .change_members(change.clone())
+            .await
+            .is_err()
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let lines = applied(&new.0, 100).await;
+    assert!(lines.len() >= 100);
+    assert_eq!(new.0.members().len(), 3);
+    running.push(new);
+    // The second loss right after the repair: the new voter and one other are the quorum.
+    let second = running.remove(0);
+    stop(second);
+    propose(&running, "after").await;
+    running.into_iter().for_each(stop);
+}
+
+/// Guards against an acknowledgement of a command whose sync failed.
+#[tokio::test]
+async fn failed_sync_stops_the_replica_without_acknowledgement() {
+    let root = TempDir::new().unwrap();
+    let folder = folders(&root, 1).remove(0);
+    let mut options = options(&folder);
+    // Frames of a real command are longer than those of the start and the election.
+    options.wal.write = |file, buf| {
+        io::Write::write_all(file, buf)?;
+        if buf.len() > 1000 {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    };
+    let (handle, thread) = Network::default().start(options);
+    handle.leads().await.unwrap();
+    assert_eq!(handle.propose(b"small".to_vec()).await, Ok(b"1".to_vec()));
+    let answer = handle.propose(vec![0; 1000]).await;
+    assert_eq!(answer, Err(ProposeError::Lost));
+    let end = thread.join().unwrap();
+    assert!(
+        matches!(
+            end,
+            Err(Error::File {
+                step: "write segment",
+                ..
+            })
+        ),
+        "{end:?}"
+    );
+    assert_eq!(
+        handle.propose(b"later".to_vec()).await,
+        Err(ProposeError::Stopped)
+    );
+}
+
+/// Guards against a wiped replica that creates the group again.
+#[test]
+fn wiped_replica_cannot_bootstrap_again() {
+    let root = TempDir::new().unwrap();
+    let folder = root.path().join("a");
+    let voters = [voter(identity(&folder).unwrap())];
+    wal::bootstrap(&folder, &voters).unwrap();
+    assert!(matches!(
+        wal::bootstrap(&folder, &voters),
+        Err(Error::Invalid { .. })
+    ));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(matches!(
+        wal::bootstrap(&folder, &voters),
+        Err(Error::Invalid { .. })
+    ));
+}
--- /dev/null
+++ b/src/wal/folder.rs
@@ -0,0 +1,96 @@
+//! Steps on the data folder as a whole.
+
+use {
+    super::{Batch, Options, Wal},
+    crate::{
+        error::{Error, Result},
+        raft::{HardState, MAX_MEMBERS, Member, MemberRole, Position, ReplicaId, Snapshot},
+    },
+    std::{
+        fs::{self, File},
+        io,
+        path::Path,
+    },
+};
+
+/// Creates a group: writes its first voters into the folder of one of them.
+///
+/// It is run once on each voter with the same list. The list names the identities of the folders,
+/// so a replica that lost its disk, and with it its identity, is refused.
+///
+/// ```
+/// use anvilbeam::{raft::{Member, MemberRole, ReplicaId}, wal};
+/// let folder = tempfile::tempdir().unwrap();
+/// let (wal, recovered) =
+///     wal::Wal::open(folder.path(), wal::Options::default(), ReplicaId(7)).unwrap();
+/// drop(wal);
+/// let voter = Member {
+///     id: recovered.id,
+///     name: "a".to_owned(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+///     role: MemberRole::Voter,
+/// };
+/// wal::bootstrap(folder.path(), &[voter.clone()]).unwrap();
+/// assert!(wal::bootstrap(folder.path(), &[voter]).is_err());
+/// ```
+///
+/// # Errors
+/// [`Error::Invalid`] if the list does not name the folder's identity as a voter or the folder is
+/// part of a group; [`Error::File`] and [`Error::Corrupt`] as [`Wal::open`].
+pub fn bootstrap(folder: &Path, voters: &[Member]) -> Result<()> {
+    let invalid = |reason: String| Error::Invalid {
+        place: folder.display().to_string(),
+        reason,
+    };
+    let fresh = ReplicaId(rand::random::<u64>().max(1));
+    let (mut wal, recovered) = Wal::open(folder, Options::default(), fresh)?;
+    let listed = voters
+        .iter()
+        .any(|m| m.id == wal.id() && m.role == MemberRole::Voter);
+    if !listed || voters.len() > MAX_MEMBERS {
+        let reason = format!("the list of voters does not name replica {}", wal.id());
+        return Err(invalid(reason));
+    }
+    if recovered.stored.hard != HardState::default() || recovered.stored.snapshot.is_some() {
+        let reason = format!("replica {} is part of a group already", wal.id());
+        return Err(invalid(reason));
+    }
+    let snapshot = Snapshot {
+        at: Position::default(),
+        members: voters.to_vec(),
+        ..Snapshot::default()
+    };
+    wal.save(Batch {
+        install: Some(&snapshot),
+        hard: Some(HardState::bootstrapped(voters)),
+        ..Batch::default()
+    })
+}
+
+/// Creates the folder if it is missing and locks it until the file is closed.
+pub(super) fn lock(folder: &Path) -> Result<File> {
+    fs::create_dir_all(folder).map_err(at("create folder", folder))?;
+    let path = folder.join("lock");
+    let file = File::create(&path).map_err(at("create lock", &path))?;
+    file.try_lock()
+        .map_err(|e| at("lock folder", &path)(e.into()))?;
+    Ok(file)
+}
+
+/// Makes created, renamed and removed names in `folder` durable.
+pub(super) fn sync(folder: &Path) -> Result<()> {
+    File::open(folder)
+        .and_then(|file| file.sync_all())
+        .map_err(at("sync folder", folder))
+}
+
+/// Removes a file.
+pub(super) fn remove(path: &Path) -> Result<()> {
+    fs::remove_file(path).map_err(at("remove file", path))
+}
+
+/// Adds the step and the file to an error.
+pub(super) fn at(step: &'static str, path: &Path) -> impl FnOnce(io::Error) -> Error {
+    let path = path.to_owned();
+    move |source| Error::File { step, path, source }
+}
--- /dev/null
+++ b/src/wal/recover.rs
@@ -0,0 +1,243 @@
+//! Reads a data folder on start.
+
+use {
+    super::{
+        Segment,
+        folder::{at, sync},
+        frame::{Frame, HEADER, Record, frame_at, intact_after},
+        snapshot,
+    },
+    crate::{
+        error::{Error, Result},
+        raft::{Entry, HardState, Position, ReplicaId, Stored},
+        wire,
+    },
+    std::{
+        collections::VecDeque,
+        fs::{self, File},
+        path::Path,
+    },
+};
+
+/// Largest segment that is read, in bytes: a full one and one batch.
+const MAX_SEGMENT: u64 = 1024 * 1024 * 1024;
+
+/// What a data folder holds.
+#[derive(Clone, Debug)]
+pub struct Recovered {
+    /// Identity of the folder.
+    pub id: ReplicaId,
+    /// State of the replica.
+    pub stored: Stored,
+}
+
+/// The log while its records are read.
+#[derive(Debug, Default)]
+struct Replay {
+    id: Option<ReplicaId>,
+    hard: HardState,
+    /// Position before the first entry; the term is 0 if it is unknown.
+    base: Position,
+    entries: VecDeque<Entry>,
+}
+
+/// A folder as it was read.
+#[derive(Debug)]
+pub(super) struct Contents {
+    pub(super) recovered: Recovered,
+    pub(super) segments: VecDeque<Segment>,
+    /// Number of the last segment; 0 if there is none.
+    pub(super) sequence: u64,
+    /// Position to which the stored log must be reset, since it does not continue the snapshot.
+    pub(super) reset: Option<Position>,
+}
+
+/// Reads the folder.
+pub(super) fn read(folder: &Path, new_id: ReplicaId) -> Result<Contents> {
+    let snapshot = snapshot::load(folder)?;
+    let paths = snapshot::files(folder, "log")?;
+    let mut replay = Replay::default();
+    let mut segments = VecDeque::new();
+    let mut sequence = 0;
+    for (i, path) in paths.iter().enumerate() {
+        let number = number_of(path)?;
+        if i > 0 && number != sequence + 1 {
+            let reason = format!("segment {} is missing before it", sequence + 1);
+            return Err(corrupt(path, 0, reason));
+        }
+        sequence = number;
+        let last = i + 1 == paths.len();
+        segments.push_back(read_segment(path, last, &mut replay)?);
+    }
+    let written = segments.iter().any(|segment: &Segment| segment.bytes > 0);
+    if replay.id.is_none() && (snapshot.is_some() || written) {
+        return Err(corrupt(
+            folder,
+            0,
+            "no segment names the identity".to_owned(),
+        ));
+    }
+    let base = snapshot.as_ref().map_or(Position::default(), |s| s.at);
+    if replay.base.index > base.index {
+        let reason = format!(
+            "entries {} to {} are missing",
+            base.index + 1,
+            replay.base.index
+        );
+        return Err(corrupt(folder, 0, reason));
+    }
+    let (id, mut hard) = (replay.id.unwrap_or(new_id), replay.hard);
+    let continued = replay.entries_after(base);
+    // A crash between storing the leader's snapshot and resetting the log leaves an old log.
+    let reset = continued.is_none().then_some(base);
+    let entries = continued.unwrap_or_default();
+    // The same crash can leave a term that is older than the snapshot's.
+    let term = entries.last().map_or(base.term, |entry| entry.at.term);
+    if term > hard.term {
+        hard = HardState {
+            term,
+            vote: None,
+            ..hard
+        };
+    }
+    let stored = Stored {
+        hard,
+        snapshot,
+        entries,
+    };
+    Ok(Contents {
+        recovered: Recovered { id, stored },
+        segments,
+        sequence,
+        reset,
+    })
+}
+
+fn corrupt(path: &Path, offset: usize, reason: String) -> Error {
+    Error::Corrupt {
+        path: path.to_owned(),
+        offset: offset as u64,
+        reason,
+    }
+}
+
+fn number_of(path: &Path) -> Result<u64> {
+    path.file_stem()
+        .and_then(|name| name.to_str()?.parse().ok())
+        .ok_or_else(|| corrupt(path, 0, "the file name is not a number".to_owned()))
+}
+
+fn read_segment(path: &Path, last: bool, replay: &mut Replay) -> Result<Segment> {
+    let size = fs::metadata(path).map_err(at("read size", path))?.len();
+    if size > MAX_SEGMENT {
+        return Err(corrupt(
+            path,
+            0,
+            format!("the size of {size} bytes is out of range"),
+        ));
+    }
+    let file = fs::read(path).map_err(at("read segment", path))?;
+    let mut offset = 0;
+    let mut highest = 0;
+    loop {
+        match frame_at(&file, offset) {
+            Frame::End => break,
+            Frame::Intact(payload) => {
+                let records: Vec<Record> =
+                    wire::decode(payload).map_err(|e| corrupt(path, offset, e.to_string()))?;
+                for record in records {
+                    let index = replay
+                        .take(record)
+                        .map_err(|reason| corrupt(path, offset, reason))?;
+                    highest = highest.max(index);
+                }
+                offset += HEADER + payload.len();
+            }
+            Frame::Damaged(reason) => {
+                if !last || intact_after(&file, offset) {
+                    return Err(corrupt(path, offset, reason.to_owned()));
+                }
+                cut(path, offset)?;
+                break;
+            }
+        }
+    }
+    Ok(Segment {
+        path: path.to_owned(),
+        last: highest,
+        bytes: offset as u64,
+    })
+}
+
+/// Cuts a segment off after its last intact frame.
+fn cut(path: &Path, offset: usize) -> Result<()> {
+    log::warn!("{} is cut off at offset {offset}", path.display());
+    let file = File::options()
+        .write(true)
+        .open(path)
+        .map_err(at("open segment", path))?;
+    file.set_len(offset as u64)
+        .and_then(|()| file.sync_all())
+        .map_err(at("cut segment", path))?;
+    path.parent().map_or(Ok(()), sync)
+}
+
+impl Replay {
+    /// Takes a record in; returns its index, 0 if it has none.
+    fn take(&mut self, record: Record) -> std::result::Result<u64, String> {
+        match record {
+            Record::State(id, hard) => {
+                if self.id.is_some_and(|known| known != id) {
+                    return Err(format!("the identity changes to {id}"));
+                }
+                self.id = Some(id);
+                self.hard = hard;
+                Ok(0)
+            }
+            Record::Reset(at) => {
+                self.base = at;
+                self.entries.clear();
+                Ok(at.index)
+            }
+            Record::Entry(entry) => self.take_entry(entry),
+        }
+    }
+
+    fn take_entry(&mut self, entry: Entry) -> std::result::Result<u64, String> {
+        let index = entry.at.index;
+        if index == 0 {
+            return Err("entry 0 does not exist".to_owned());
+        }
+        let end = self.base.index + self.entries.len() as u64;
+        let first_of_log = self.entries.is_empty() && self.base == Position::default();
+        // Segments before this one may have been removed with their entries.
+        if index <= self.base.index || first_of_log {
+            let before = index - 1;
+            self.base = Position {
+                index: before,
+                term: 0,
+            };
+            self.entries.clear();
+        } else if index > end + 1 {
+            return Err(format!("entry {index} follows entry {end}"));
+        }
+        self.entries
+            .truncate((index - 1 - self.base.index) as usize);
+        self.entries.push_back(entry);
+        Ok(index)
+    }
+
+    /// Entries after the snapshot at `at`; `None` if the log does not continue it.
+    fn entries_after(mut self, at: Position) -> Option<Vec<Entry>> {
+        let skip = (at.index - self.base.index) as usize;
+        let continues = match skip.checked_sub(1) {
+            None => self.base.term == at.term,
+            Some(offset) => self.entries.get(offset).is_some_and(|e| e.at == at),
+        };
+        if !continues {
+            return None;
+        }
+        self.entries.drain(..skip);
+        Some(self.entries.into())
+    }
+}
--- /dev/null
+++ b/src/wal/snapshot.rs
@@ -0,0 +1,121 @@
+//! Snapshot files: `<index>.snapshot`, frames of the record and of the contents.
+
+use {
+    super::{
+        Options,
+        folder::{at, remove, sync},
+        frame::{Frame, frame_at, put_frame},
+    },
+    crate::{
+        error::{Error, Result},
+        raft::{MAX_SNAPSHOT, Member, Position, Snapshot},
+        wire,
+    },
+    bytes::Bytes,
+    std::{
+        fs::{self, File},
+        path::{Path, PathBuf},
+    },
+};
+
+/// Bytes of contents in one frame.
+const PART_BYTES: usize = 1024 * 1024;
+const SUFFIX: &str = "snapshot";
+/// Suffix of a file that is still being written.
+const PARTIAL: &str = "partial";
+
+/// First frame: position, members and size of the contents.
+type Head = (Position, Vec<Member>, u64);
+
+/// Files with `suffix` in their order by name.
+pub(super) fn files(folder: &Path, suffix: &str) -> Result<Vec<PathBuf>> {
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(folder).map_err(at("read folder", folder))? {
+        let path = entry.map_err(at("read folder", folder))?.path();
+        if path.extension().is_some_and(|found| found == suffix) {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+/// Size of the stored snapshots in bytes.
+pub(super) fn bytes(folder: &Path) -> Result<u64> {
+    files(folder, SUFFIX)?.iter().try_fold(0, |sum, path| {
+        let data = fs::metadata(path).map_err(at("read size", path))?;
+        Ok(sum + data.len())
+    })
+}
+
+/// Stores a snapshot durably, then removes older ones.
+pub(super) fn store(folder: &Path, options: &Options, snapshot: &Snapshot) -> Result<()> {
+    let path = folder.join(format!("{:020}.{SUFFIX}", snapshot.at.index));
+    let partial = path.with_extension(PARTIAL);
+    let mut file = File::create(&partial).map_err(at("create snapshot", &partial))?;
+    let head: Head = (
+        snapshot.at,
+        snapshot.members.clone(),
+        snapshot.data.len() as u64,
+    );
+    let mut buf = Vec::new();
+    put_frame(&mut buf, &wire::encode(&head)?);
+    for part in snapshot.data.chunks(PART_BYTES) {
+        put_frame(&mut buf, part);
+        (options.write)(&mut file, &buf).map_err(at("write snapshot", &partial))?;
+        buf.clear();
+    }
+    (options.write)(&mut file, &buf).map_err(at("write snapshot", &partial))?;
+    (options.sync)(&file).map_err(at("sync snapshot", &partial))?;
+    fs::rename(&partial, &path).map_err(at("rename snapshot", &path))?;
+    sync(folder)?;
+    for old in files(folder, SUFFIX)? {
+        if old < path {
+            remove(&old)?;
+        }
+    }
+    Ok(())
+}
+
+/// Reads the latest snapshot; removes what a crash left behind.
+pub(super) fn load(folder: &Path) -> Result<Option<Snapshot>> {
+    for partial in files(folder, PARTIAL)? {
+        remove(&partial)?;
+    }
+    let Some(path) = files(folder, SUFFIX)?.pop() else {
+        return Ok(None);
+    };
+    let size = fs::metadata(&path).map_err(at("read size", &path))?.len();
+    let corrupt = |offset: usize, reason: &str| Error::Corrupt {
+        path: path.clone(),
+        offset: offset as u64,
+        reason: reason.to_owned(),
+    };
+    if size > MAX_SNAPSHOT * 2 {
+        return Err(corrupt(0, "the file is too large"));
+    }
+    let file = fs::read(&path).map_err(at("read snapshot", &path))?;
+    let next = |offset: usize| match frame_at(&file, offset) {
+        Frame::Intact(payload) => Ok(payload),
+        Frame::End => Err(corrupt(offset, "the file ends early")),
+        Frame::Damaged(reason) => Err(corrupt(offset, reason)),
+    };
+    let payload = next(0)?;
+    let (position, members, total): Head =
+        wire::decode(payload).map_err(|e| corrupt(0, &e.to_string()))?;
+    let mut offset = super::frame::HEADER + payload.len();
+    let mut data = Vec::new();
+    while (data.len() as u64) < total {
+        let payload = next(offset)?;
+        data.extend_from_slice(payload);
+        offset += super::frame::HEADER + payload.len();
+    }
+    if data.len() as u64 != total || offset != file.len() {
+        return Err(corrupt(offset, "the size does not match"));
+    }
+    Ok(Some(Snapshot {
+        at: position,
+        members,
+        data: Bytes::from(data),
+    }))
+}
