--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,5 +18,8 @@
 pub mod serve;
 pub mod settings;
 pub mod stand_in;
+pub mod raft;
+pub mod replica;
+pub mod wal;
 pub mod wire;
 pub mod yaml;
