--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod claim_client;
 pub mod claims;
+pub mod admission;
 pub mod error;
 pub mod lists;
 pub mod model;
