Add balance: choice of a backend server by outcomes

Cause: entry daemons must choose a server without trusting what servers say about themselves. Change: two weighted choices in the nearest group with a usable server, slow start, ejection against the better quartile of the peers, probes, refusals by rank.

--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,384 @@
+//! Choice of a backend server among the candidates of a route.
+//!
+//! Every pick must be followed by exactly one `outcome` with the returned choice. State is local to
+//! the daemon and follows from the outcomes seen here; what servers report about themselves only
+//! shifts a score by a bounded factor.
+
+use {
+    crate::{
+        model::{Endpoint, Rank, ServerName, ServiceName},
+        routes::{Candidates, Distance, Route, Snapshot},
+    },
+    draw::{Draws, Scored, draw},
+    health::Health,
+    indexmap::{IndexMap, IndexSet},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    strum::{Display, IntoEnumIterator},
+};
+
+mod draw;
+mod health;
+#[cfg(test)]
+mod tests;
+
+/// Share of the calls that one server under probing may get.
+pub const PROBE_SHARE: f64 = 0.05;
+/// Share of the calls that all servers under probing of one group may get.
+const ALL_PROBES_SHARE: f64 = 0.15;
+
+/// How a call ended, as far as it tells about the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The server answered.
+    Succeeded,
+    /// The server answered with a fault, broke off or exceeded the deadline.
+    Failed,
+    /// No connection was made; the call has not run.
+    Unreachable,
+    /// The server's owner refused the call as it is full; the call has not run.
+    Overloaded {
+        /// How long calls of this rank should go elsewhere.
+        retry_after: Duration,
+    },
+    /// The end tells nothing about the server, such as a cancelled call.
+    Neutral,
+}
+
+/// The backend server chosen for one call.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The endpoint to call.
+    pub endpoint: Arc<Endpoint>,
+    /// How far away it is.
+    pub distance: Distance,
+    /// Rank of the call.
+    pub rank: Rank,
+    /// Whether the server was ejected and this call probes it.
+    pub probe: bool,
+}
+
+/// A change of a server's standing, to be logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The server gets no calls until the deadline, then probes.
+    Ejected {
+        /// Start of probing.
+        until: Instant,
+        /// Why.
+        cause: Cause,
+    },
+    /// Probes succeeded; the server gets traffic again, with slow start.
+    Readmitted,
+}
+
+/// Why a server was ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Cause {
+    /// Its calls fail and those of its peers do not.
+    Failing,
+    /// It is slower than its peers by far.
+    Slow,
+    /// A probe failed or was slow.
+    ProbeFailed,
+}
+
+/// How willing a server is, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    Usable,
+    /// Own outstanding calls fill its slots.
+    Full,
+    /// It refused a call of this rank a moment ago.
+    Refusing,
+    /// Ejected or under probing.
+    Ejected,
+}
+
+const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
+
+/// State of the choice among backend servers.
+///
+/// ```
+/// use anvilbeam::{balance::Balancer, model::{DataCentre, Region}, routes::{Candidates, Location}};
+/// use anvilbeam::model::Rank;
+/// let here = Location { data_centre: DataCentre::from("a1"), region: Region::from("a") };
+/// let none = Candidates::new(&here, &[]);
+/// let mut balancer = Balancer::default();
+/// let choice = balancer.pick_from(&none, Rank::Normal, std::time::Instant::now(), 7, &[]);
+/// assert!(choice.is_none());
+/// ```
+#[derive(Debug, Default)]
+pub struct Balancer {
+    servers: IndexMap<ServerName, Health>,
+    members: IndexMap<ServiceName, IndexSet<ServerName>>,
+    scored: Vec<Scored>,
+    probing: Vec<usize>,
+}
+
+impl Balancer {
+    /// Takes over the announced servers of all services of `snapshot`; call it after each swap.
+    pub fn sync(&mut self, snapshot: &Snapshot, now: Instant) {
+        let gone = |name: &&ServiceName| snapshot.endpoints(name).is_empty();
+        let gone: Vec<_> = self.members.keys().filter(gone).cloned().collect();
+        for service in gone {
+            self.sync_service(&service, &[], now);
+        }
+        for (service, endpoints) in snapshot.services() {
+            self.sync_service(service, endpoints, now);
+        }
+    }
+
+    /// Takes over the announced servers of one service.
+    ///
+    /// A server that is new or has a new incarnation starts slowly; one that is not announced any
+    /// more is forgotten.
+    pub fn sync_service(
+        &mut self,
+        service: &ServiceName,
+        endpoints: &[Arc<Endpoint>],
+        now: Instant,
+    ) {
+        let announced: IndexSet<_> = endpoints.iter().map(|e| e.server.clone()).collect();
+        let previous = self.members.swap_remove(service).unwrap_or_default();
+        for server in previous.difference(&announced) {
+            self.servers.swap_remove(server);
+        }
+        for endpoint in endpoints {
+            let entry = self.servers.entry(endpoint.server.clone());
+            let health = entry.or_insert_with(|| Health::new(endpoint, now));
+            health.refresh(endpoint, now);
+        }
+        if !announced.is_empty() {
+            self.members.insert(service.clone(), announced);
+            self.release_excess(service);
+        }
+    }
+
+    /// Readmits servers while more than half of a service is ejected, the earliest deadline first.
+    fn release_excess(&mut self, service: &ServiceName) {
+        let members = &self.members[service];
+        while self.ejected(service) * 2 > members.len() {
+            let ejected = members.iter().filter_map(|server| {
+                let until = self.servers.get(server)?.ejected_until()?;
+                Some((until, server))
+            });
+            let Some((_, server)) = ejected.min() else {
+                return;
+            };
+            if let Some(health) = self.servers.get_mut(server) {
+                health.release();
+            }
+        }
+    }
+
+    /// Chooses a backend server for a call on `route` and counts the call as outstanding.
+    ///
+    /// `random` is a fresh random number; servers in `exclude` are not chosen. `None` means that
+    /// all candidates are excluded.
+    pub fn pick(
+        &mut self,
+        route: &Route<'_>,
+        now: Instant,
+        random: u64,
+        exclude: &[ServerName],
+    ) -> Option<Choice> {
+        self.pick_from(route.candidates, route.grant.rank, now, random, exclude)
+    }
+
+    /// As `pick`, with the parts of the route.
+    pub fn pick_from(
+        &mut self,
+        candidates: &Candidates,
+        rank: Rank,
+        now: Instant,
+        random: u64,
+        exclude: &[ServerName],
+    ) -> Option<Choice> {
+        let mut draws = Draws(random);
+        // Most calls end in the first round: the nearest group with a usable server.
+        for tier in TIERS {
+            for distance in Distance::iter() {
+                let group = candidates.group(distance);
+                self.gather(group, tier, rank, now, exclude);
+                let Some((at, probe)) = self.choose(tier, &mut draws) else {
+                    continue;
+                };
+                let endpoint = Arc::clone(&group[at]);
+                self.servers[&endpoint.server].started();
+                return Some(Choice {
+                    endpoint,
+                    distance,
+                    rank,
+                    probe,
+                });
+            }
+        }
+        None
+    }
+
+    /// Collects the servers of `group` in `tier`, and in the first tier those to be probed.
+    fn gather(
+        &mut self,
+        group: &[Arc<Endpoint>],
+        tier: Tier,
+        rank: Rank,
+        now: Instant,
+        exclude: &[ServerName],
+    ) {
+        self.scored.clear();
+        self.probing.clear();
+        for (at, endpoint) in group.iter().enumerate() {
+            if exclude.contains(&endpoint.server) {
+                continue;
+            }
+            if !self.servers.contains_key(&endpoint.server) {
+                self.adopt(endpoint, now);
+            }
+            let health = &self.servers[&endpoint.server];
+            if tier == Tier::Usable && health.wants_probe(now) {
+                self.probing.push(at);
+            }
+            if health.tier(rank, now) == tier {
+                self.scored.push(Scored {
+                    at,
+                    weight: health.weight(now),
+                    queue: health.queue(now),
+                    latency: health.expected_latency(now),
+                });
+            }
+        }
+    }
+
+    /// Starts the state of a server that was picked before `sync` named it.
+    fn adopt(&mut self, endpoint: &Endpoint, now: Instant) {
+        let members = self.members.entry(endpoint.service.clone()).or_default();
+        members.insert(endpoint.server.clone());
+        let health = Health::new(endpoint, now);
+        self.servers.insert(endpoint.server.clone(), health);
+    }
+
+    /// Position in the group of the chosen server, and whether the call is a probe.
+    fn choose(&self, tier: Tier, draws: &mut Draws) -> Option<(usize, bool)> {
+        if !self.probing.is_empty() {
+            let share = PROBE_SHARE.min(ALL_PROBES_SHARE / self.probing.len() as f64);
+            let slot = (draws.unit() / share) as usize;
+            if let Some(at) = self.probing.get(slot) {
+                return Some((*at, true));
+            }
+        }
+        let first = draw(&self.scored, None, draws)?;
+        let better = draw(&self.scored, Some(first.at), draws)
+            .filter(|second| second.beats(&first))
+            .unwrap_or(first);
+        Some((better.at, tier == Tier::Ejected))
+    }
+
+    /// Records how the call of `choice` ended and how long it took.
+    ///
+    /// An outcome of an earlier incarnation is ignored. Returns a change of the server's standing.
+    pub fn outcome(
+        &mut self,
+        choice: &Choice,
+        outcome: Outcome,
+        latency: Duration,
+        now: Instant,
+    ) -> Option<Change> {
+        let endpoint = &choice.endpoint;
+        let health = self.servers.get_mut(&endpoint.server)?;
+        if !health.finished(endpoint.incarnation) {
+            return None;
+        }
+        match outcome {
+            Outcome::Neutral => return None,
+            Outcome::Overloaded { retry_after } => {
+                health.refused(choice.rank, retry_after, now);
+                return None;
+            }
+            Outcome::Succeeded => health.record(true, latency, now),
+            Outcome::Failed | Outcome::Unreachable => health.record(false, latency, now),
+        }
+        let failed = outcome != Outcome::Succeeded;
+        if choice.probe {
+            return self.judge_probe(endpoint, failed, latency, now);
+        }
+        self.judge(endpoint, failed, now)
+    }
+
+    /// Ejects a server whose calls fail or are slow while those of its peers are not.
+    fn judge(&mut self, endpoint: &Endpoint, failed: bool, now: Instant) -> Option<Change> {
+        let health = self.servers.get(&endpoint.server)?;
+        if health.ejected_until().is_some() || !health.is_suspicious(failed) {
+            return None;
+        }
+        let peers = self.peers(endpoint);
+        let cause = if failed && health.fails_against(&peers) {
+            Cause::Failing
+        } else if peers.are_faster_than(health.latency()) {
+            Cause::Slow
+        } else {
+            return None;
+        };
+        let service = &endpoint.service;
+        if (self.ejected(service) + 1) * 2 > self.members.get(service)?.len() {
+            return None;
+        }
+        let until = self.servers.get_mut(&endpoint.server)?.eject(now);
+        Some(Change::Ejected { until, cause })
+    }
+
+    fn judge_probe(
+        &mut self,
+        endpoint: &Endpoint,
+        failed: bool,
+        latency: Duration,
+        now: Instant,
+    ) -> Option<Change> {
+        let peers = self.peers(endpoint);
+        let health = self.servers.get_mut(&endpoint.server)?;
+        health.ejected_until()?;
+        if failed || peers.are_faster_than(Some(latency.as_secs_f64())) {
+            let until = health.eject(now);
+            let cause = Cause::ProbeFailed;
+            return Some(Change::Ejected { until, cause });
+        }
+        health.probe_succeeded(now).then_some(Change::Readmitted)
+    }
+
+    /// Failure shares and latencies of the other servers of the service.
+    fn peers(&self, endpoint: &Endpoint) -> health::Peers {
+        let members = self.members.get(&endpoint.service).into_iter().flatten();
+        let others = members.filter(|server| **server != endpoint.server);
+        health::Peers::new(others.filter_map(|server| self.servers.get(server)))
+    }
+
+    /// Takes a server's report of its own load, from 0 to 1, as a hint for 3 s.
+    pub fn hint_load(&mut self, server: &ServerName, load: f64, now: Instant) {
+        if let Some(health) = self.servers.get_mut(server) {
+            health.hint(load, now);
+        }
+    }
+
+    /// Number of servers of `service` that are ejected or under probing.
+    pub fn ejected(&self, service: &ServiceName) -> usize {
+        let members = self.members.get(service).into_iter().flatten();
+        let ejected = |server: &&ServerName| {
+            let health = self.servers.get(*server);
+            health.is_some_and(|health| health.ejected_until().is_some())
+        };
+        members.filter(ejected).count()
+    }
+
+    /// End of the ejection of `server`; after it the server is under probing.
+    pub fn ejected_until(&self, server: &ServerName) -> Option<Instant> {
+        self.servers.get(server)?.ejected_until()
+    }
+
+    /// Own outstanding calls on `server`.
+    pub fn outstanding(&self, server: &ServerName) -> u32 {
+        self.servers.get(server).map_or(0, Health::outstanding)
+    }
+}
--- /dev/null
+++ b/src/balance/health.rs
@@ -0,0 +1,297 @@
+//! What the daemon has seen of one backend server.
+
+use {
+    super::Tier,
+    crate::model::{Endpoint, Rank},
+    std::time::{Duration, Instant},
+    strum::EnumCount,
+};
+
+/// Time until a new or returned server gets its full share.
+const SLOW_START: Duration = Duration::from_secs(10);
+/// Share of the full weight at the start; zero would never warm a server up.
+const COLD_WEIGHT: f64 = 0.1;
+/// Weight of one call in the smoothed latency.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Seconds below which latencies are not told apart: the resolution of the timers.
+const MIN_LATENCY: f64 = 1e-4;
+/// Weight of one call in the smoothed share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Time after which an unused latency estimate counts half, so that a slow server is tried again.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Least weight of a failing server that cannot be ejected.
+const MIN_RELIABILITY: f64 = 0.02;
+/// Failures in a row that raise a suspicion.
+const STREAK: u32 = 5;
+/// Failures above the better peers' share that eject a server.
+const FAILURE_MARGIN: f64 = 0.2;
+/// Factor over the better peers' latency that counts as slow by far.
+const SLOW_FACTOR: f64 = 5.0;
+/// Seconds above the better peers' latency that count as slow: two round trips between regions,
+/// so that distance alone ejects nobody.
+const SLOW_MARGIN: f64 = 0.05;
+/// Calls before a latency is compared.
+const SLOW_SAMPLES: u32 = 5;
+/// First ejection; doubles with each repeat.
+const EJECTION: Duration = Duration::from_secs(5);
+/// Repeats after which the ejection grows no further: 160 s.
+const MAX_REPEATS: u32 = 5;
+/// Time in service after which earlier ejections are forgotten.
+const FORGIVEN_AFTER: Duration = Duration::from_mins(2);
+/// Successful probes in a row that end an ejection.
+const PROBES: u32 = 3;
+/// Time for which a load report counts.
+const HINT_LIFE: Duration = Duration::from_secs(3);
+/// Largest change of the score by a load report.
+const HINT_FACTOR: f64 = 0.5;
+/// Limit of a retry-after hint, which comes from another process.
+const MAX_REFUSAL: Duration = Duration::from_secs(2);
+
+/// State of one backend server.
+#[derive(Debug)]
+pub(super) struct Health {
+    incarnation: u64,
+    slots: u32,
+    ramp_start: Instant,
+    outstanding: u32,
+    /// Seconds, with the time of the last sample.
+    latency: Option<(f64, Instant)>,
+    samples: u32,
+    failures: f64,
+    streak: u32,
+    refusing_until: [Option<Instant>; Rank::COUNT],
+    ejected_until: Option<Instant>,
+    repeats: u32,
+    readmitted: Instant,
+    probes: u32,
+    hint: Option<(f64, Instant)>,
+}
+
+impl Health {
+    pub(super) fn new(endpoint: &Endpoint, now: Instant) -> Self {
+        Self {
+            incarnation: endpoint.incarnation,
+            slots: endpoint.slots,
+            ramp_start: now,
+            outstanding: 0,
+            latency: None,
+            samples: 0,
+            failures: 0.0,
+            streak: 0,
+            refusing_until: [None; Rank::COUNT],
+            ejected_until: None,
+            repeats: 0,
+            readmitted: now,
+            probes: 0,
+            hint: None,
+        }
+    }
+
+    /// Takes over a new announcement; a new incarnation starts from nothing but its repeats, so
+    /// that a server cannot shorten its ejections by restarting.
+    pub(super) fn refresh(&mut self, endpoint: &Endpoint, now: Instant) {
+        if self.incarnation != endpoint.incarnation {
+            *self = Self {
+                repeats: self.repeats,
+                ..Self::new(endpoint, now)
+            };
+        }
+        self.slots = endpoint.slots;
+    }
+
+    pub(super) fn started(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// Counts a call as ended; false if it ran on another incarnation.
+    pub(super) fn finished(&mut self, incarnation: u64) -> bool {
+        if self.incarnation != incarnation {
+            return false;
+        }
+        self.outstanding = self.outstanding.saturating_sub(1);
+        true
+    }
+
+    pub(super) fn refused(&mut self, rank: Rank, retry_after: Duration, now: Instant) {
+        let until = now + retry_after.min(MAX_REFUSAL);
+        let slot = &mut self.refusing_until[rank.index()];
+        *slot = (*slot).max(Some(until));
+    }
+
+    pub(super) fn record(&mut self, success: bool, latency: Duration, now: Instant) {
+        let failure = if success { 0.0 } else { 1.0 };
+        self.failures += (failure - self.failures) * FAILURE_WEIGHT;
+        self.streak = if success { 0 } else { self.streak + 1 };
+        let sample = latency.as_secs_f64();
+        // A quick failure says nothing about the speed, or it would attract traffic.
+        if success || self.latency.is_some_and(|(known, _)| sample > known) {
+            self.smooth(sample, now);
+        }
+    }
+
+    fn smooth(&mut self, sample: f64, now: Instant) {
+        self.samples = self.samples.saturating_add(1);
+        let Some((known, at)) = self.latency else {
+            self.latency = Some((sample, now));
+            return;
+        };
+        // An estimate that has not been used for long gives way to the new sample.
+        let weight = LATENCY_WEIGHT.max(1.0 - halving(at, now));
+        self.latency = Some((known + (sample - known) * weight, now));
+    }
+
+    pub(super) fn tier(&self, rank: Rank, now: Instant) -> Tier {
+        if self.ejected_until.is_some() {
+            Tier::Ejected
+        } else if self.refusing_until[rank.index()].is_some_and(|until| until > now) {
+            Tier::Refusing
+        } else if self.outstanding >= self.slots.max(1) {
+            Tier::Full
+        } else {
+            Tier::Usable
+        }
+    }
+
+    /// Whether the ejection is over and no probe is running.
+    pub(super) fn wants_probe(&self, now: Instant) -> bool {
+        self.outstanding == 0 && self.ejected_until.is_some_and(|until| until <= now)
+    }
+
+    /// Weight in the draw: grows during slow start, falls with failures.
+    pub(super) fn weight(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.ramp_start);
+        let ramp = age.as_secs_f64() / SLOW_START.as_secs_f64();
+        ramp.clamp(COLD_WEIGHT, 1.0) * self.reliability()
+    }
+
+    fn reliability(&self) -> f64 {
+        (1.0 - self.failures).powi(4).max(MIN_RELIABILITY)
+    }
+
+    /// Calls ahead of and including one more, longer for a server that reports load.
+    ///
+    /// Failures count in the weight only: counted here too, one failure would keep an idle
+    /// server from all comparisons it could win, and so from ever being judged.
+    pub(super) fn queue(&self, now: Instant) -> f64 {
+        let hint = match self.hint {
+            Some((load, until)) if until > now => 1.0 + HINT_FACTOR * load,
+            _ => 1.0,
+        };
+        f64::from(self.outstanding + 1) * hint
+    }
+
+    /// Seconds for one call, lower the longer the estimate has not been used.
+    pub(super) fn expected_latency(&self, now: Instant) -> Option<f64> {
+        let (latency, at) = self.latency?;
+        Some(latency.max(MIN_LATENCY) * halving(at, now))
+    }
+
+    pub(super) fn latency(&self) -> Option<f64> {
+        self.latency.map(|(latency, _)| latency)
+    }
+
+    /// Whether a comparison with the peers is worth its cost.
+    pub(super) fn is_suspicious(&self, failed: bool) -> bool {
+        if failed && (self.streak >= STREAK || self.failures > 0.5) {
+            return true;
+        }
+        let slow = self.latency().is_some_and(|latency| latency > SLOW_MARGIN);
+        slow && self.samples >= SLOW_SAMPLES && self.samples.is_multiple_of(4)
+    }
+
+    pub(super) fn fails_against(&self, peers: &Peers) -> bool {
+        self.failures > peers.failures + FAILURE_MARGIN
+    }
+
+    /// Ejects the server and returns the deadline.
+    pub(super) fn eject(&mut self, now: Instant) -> Instant {
+        let in_service = now.saturating_duration_since(self.readmitted);
+        if self.ejected_until.is_none() && in_service > FORGIVEN_AFTER {
+            self.repeats = 0;
+        }
+        let until = now + EJECTION * 2u32.pow(self.repeats.min(MAX_REPEATS));
+        self.repeats += 1;
+        self.probes = 0;
+        self.ejected_until = Some(until);
+        until
+    }
+
+    /// Counts a good probe; true if it ends the ejection.
+    pub(super) fn probe_succeeded(&mut self, now: Instant) -> bool {
+        self.probes += 1;
+        if self.probes < PROBES {
+            return false;
+        }
+        self.release();
+        self.failures = 0.0;
+        self.ramp_start = now;
+        self.readmitted = now;
+        true
+    }
+
+    /// Ends the ejection.
+    pub(super) fn release(&mut self) {
+        self.ejected_until = None;
+        self.probes = 0;
+        self.streak = 0;
+    }
+
+    pub(super) fn ejected_until(&self) -> Option<Instant> {
+        self.ejected_until
+    }
+
+    pub(super) fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    pub(super) fn hint(&mut self, load: f64, now: Instant) {
+        if load.is_finite() {
+            self.hint = Some((load.clamp(0.0, 1.0), now + HINT_LIFE));
+        }
+    }
+}
+
+/// What is left of an estimate made at `at`.
+fn halving(at: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(at);
+    // Estimates in use are young; the power is computed only for the others.
+    if age < Duration::from_secs(1) {
+        return 1.0;
+    }
+    (-(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64())).exp2()
+}
+
+/// The better peers of a server: the lower quartile, so that a majority of bad peers does not hide
+/// a bad server, while a fault common to all ejects nobody.
+#[derive(Debug)]
+pub(super) struct Peers {
+    failures: f64,
+    latency: Option<f64>,
+}
+
+impl Peers {
+    pub(super) fn new<'a>(peers: impl Iterator<Item = &'a Health>) -> Self {
+        let (failures, latencies): (Vec<_>, Vec<_>) =
+            peers.map(|peer| (peer.failures, peer.latency())).unzip();
+        let latencies = latencies.into_iter().flatten().collect();
+        Self {
+            failures: lower_quartile(failures).unwrap_or(0.0),
+            latency: lower_quartile(latencies),
+        }
+    }
+}
+
+impl Peers {
+    /// Whether a server with `latency` in seconds is slower than its peers by far.
+    pub(super) fn are_faster_than(&self, latency: Option<f64>) -> bool {
+        let (Some(latency), Some(peers)) = (latency, self.latency) else {
+            return false;
+        };
+        latency > peers * SLOW_FACTOR && latency > peers + SLOW_MARGIN
+    }
+}
+
+fn lower_quartile(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 4).copied()
+}
