Add retry: budget, classification and waits

Cause: retries must neither run an order twice nor multiply over 23 nested calls. Change: a budget of 10% of the calls of a sliding window of 10 s with a least of 3; decisions by cause; a mark that goes up with a failure and down with a resent call, so that one level retries. Conclusion: a chain 23 deep with mixed methods, streamed bodies and spent budgets makes at most 3 leaf calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod balance;
 pub mod error;
 pub mod model;
+pub mod retry;
 pub mod routes;
 pub mod wire;
--- /dev/null
+++ b/src/retry/tests.rs
@@ -0,0 +1,269 @@
+use {
+    super::*,
+    proptest::{prelude::*, test_runner::RngSeed},
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
+    std::collections::VecDeque,
+};
+
+fn seeded(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Calls(u8),
+    Take,
+    Pass(u32),
+}
+
+/// Oracle of the budget: the exact times of all calls and retries.
+#[derive(Clone, Debug, Default)]
+struct Log {
+    millis: u64,
+    calls: Vec<u64>,
+}
+
+impl ReferenceStateMachine for Log {
+    type State = Self;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Event> {
+        prop_oneof![
+            2 => any::<u8>().prop_map(Event::Calls),
+            3 => Just(Event::Take),
+            2 => (0u32..3000).prop_map(Event::Pass),
+            1 => (0u32..40_000).prop_map(Event::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, transition: &Event) -> Self {
+        match transition {
+            Event::Calls(count) => {
+                let calls = std::iter::repeat_n(state.millis, usize::from(*count));
+                state.calls.extend(calls);
+            }
+            Event::Take => {}
+            Event::Pass(millis) => state.millis += u64::from(*millis),
+        }
+        state
+    }
+}
+
+struct BudgetTest {
+    origin: Instant,
+    budget: Budget,
+    retries: Vec<u64>,
+}
+
+impl StateMachineTest for BudgetTest {
+    type SystemUnderTest = Self;
+    type Reference = Log;
+
+    fn init_test(_: &Log) -> Self {
+        let origin = Instant::now();
+        Self {
+            origin,
+            budget: Budget::new(origin),
+            retries: Vec::new(),
+        }
+    }
+
+    fn apply(mut state: Self, ref_state: &Log, transition: Event) -> Self {
+        let (test, log) = (&mut state, ref_state);
+        let now = test.origin + Duration::from_millis(log.millis);
+        match transition {
+            Event::Calls(count) => (0..count).for_each(|_| test.budget.count_call(now)),
+            Event::Pass(_) => {}
+            Event::Take => {
+                let recent = |at: &&u64| **at + WINDOW.as_millis() as u64 > log.millis;
+                let earlier = test.retries.iter().filter(recent).count() as u64;
+                let calls = log.calls.iter().filter(recent).count() as u64;
+                let allowed = MIN_RETRIES.max(calls / RETRY_SHARE);
+                if test.budget.take(now) {
+                    test.retries.push(log.millis);
+                    assert!(earlier < allowed, "{earlier} retries before, {calls} calls");
+                }
+                let quiet = |at: &u64| *at + 11_000 < log.millis;
+                if test.retries.iter().rev().skip(1).all(quiet) {
+                    assert_eq!(test.retries.last(), Some(&log.millis), "quiet, but refused");
+                }
+            }
+        }
+        state
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(seeded(0x5eed_0002))]
+
+    /// Guards against retries beyond the budget in any window, and against a budget that never
+    /// lets a quiet daemon retry.
+    #[test]
+    fn budget_holds_in_every_window(sequential 1..120 => BudgetTest);
+}
+
+fn cause() -> impl Strategy<Value = Cause> {
+    prop_oneof![
+        Just(Cause::ConnectionRefused),
+        Just(Cause::NotRun),
+        prop::option::of(0u64..100_000).prop_map(|ms| Cause::Overloaded {
+            retry_after: ms.map(Duration::from_millis)
+        }),
+        Just(Cause::ConnectionLost),
+        Just(Cause::ServerFault),
+        Just(Cause::CapacityExceeded),
+        Just(Cause::NoGrant),
+        Just(Cause::CrashCondemned),
+        Just(Cause::OrderPending),
+        Just(Cause::Abandoned),
+    ]
+}
+
+proptest! {
+    #![proptest_config(seeded(0x5eed_0003))]
+
+    /// Guards against a resend of a call that may have run, of a body that is gone, past the
+    /// deadline, before a hint has passed, or for a cause that a resend meets again.
+    #[test]
+    fn retries_only_what_is_safe(
+        cause in cause(),
+        method in prop::sample::select(vec!["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"]),
+        retried_below: bool,
+        is_retry: bool,
+        streamed: bool,
+        attempts in 1usize..5,
+        left in 0u64..2000,
+        random: u64,
+    ) {
+        let now = Instant::now();
+        let deadline = now + Duration::from_millis(left);
+        let call = Call {
+            method: method.parse().expect("a valid method"),
+            deadline,
+            body: if streamed { Body::Streamed } else { Body::Replayable },
+            tried: (0..attempts).map(|n| ServerName::from(&*format!("v{n}"))).collect(),
+            is_retry,
+        };
+        let failure = Failure { cause, retried_below };
+        let hopeless = matches!(
+            cause,
+            Cause::CapacityExceeded | Cause::NoGrant | Cause::CrashCondemned | Cause::OrderPending | Cause::Abandoned
+        );
+        let may_have_run = matches!(cause, Cause::ConnectionLost | Cause::ServerFault);
+        let unsafe_method = matches!(method, "POST" | "PATCH");
+        let decision = decide(&failure, &call, &mut Budget::new(now), now, random);
+        let Decision::Retry { not_before, exclude } = decision else {
+            let at_once = matches!(cause, Cause::ConnectionRefused | Cause::NotRun);
+            let free = !retried_below && !is_retry && !streamed && attempts < 3 && left > 5;
+            prop_assert!(!(at_once && free), "a safe retry was declined");
+            return Ok(());
+        };
+        prop_assert!(!hopeless && !retried_below && !is_retry && !streamed);
+        prop_assert!(!(may_have_run && unsafe_method));
+        prop_assert!(attempts < 3 && not_before < deadline);
+        match cause {
+            Cause::Overloaded { retry_after } => {
+                prop_assert!(not_before >= now + retry_after.unwrap_or_default());
+            }
+            Cause::ConnectionRefused | Cause::NotRun => {
+                prop_assert_eq!(not_before, now);
+                prop_assert_eq!(exclude, call.tried);
+            }
+            _ => prop_assert_eq!(exclude, call.tried),
+        }
+    }
+}
+
+/// One level of a simulated chain.
+struct Level {
+    method: Method,
+    body: Body,
+    budget: Budget,
+}
+
+/// Calls the chain `levels`, whose leaf fails always, and returns the failure.
+fn call_chain(
+    levels: &mut [Level],
+    cause: Cause,
+    is_retry: bool,
+    now: Instant,
+    leaf_calls: &mut u64,
+) -> Failure {
+    let Some((level, below)) = levels.split_first_mut() else {
+        *leaf_calls += 1;
+        return Failure {
+            cause,
+            retried_below: false,
+        };
+    };
+    let mut call = Call {
+        method: level.method.clone(),
+        deadline: now + Duration::from_mins(10),
+        body: level.body,
+        tried: Vec::new(),
+        is_retry,
+    };
+    level.budget.count_call(now);
+    loop {
+        let resend = is_retry || !call.tried.is_empty();
+        let failure = call_chain(below, cause, resend, now, leaf_calls);
+        call.tried.push(ServerName::from("v"));
+        match decide(&failure, &call, &mut level.budget, now, 7) {
+            Decision::Retry { .. } => {}
+            Decision::GiveUp(reason) => {
+                return Failure {
+                    cause,
+                    retried_below: failure.retried_below || reason.is_marked(),
+                };
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(0x5eed_0004))]
+
+    /// Guards against retries that multiply over nested calls: 3 sends at each of 23 levels would
+    /// make 94 billion leaf calls.
+    #[test]
+    fn chains_do_not_multiply_retries(
+        levels in prop::collection::vec((any::<bool>(), any::<bool>(), any::<bool>()), 23),
+        cause in prop::sample::select(vec![Cause::ServerFault, Cause::NotRun, Cause::ConnectionLost]),
+    ) {
+        let now = Instant::now();
+        let mut levels: Vec<_> = levels
+            .into_iter()
+            .map(|(idempotent, streamed, spent)| {
+                let mut budget = Budget::new(now);
+                while spent && budget.take(now) {}
+                Level {
+                    method: if idempotent { Method::GET } else { Method::POST },
+                    body: if streamed { Body::Streamed } else { Body::Replayable },
+                    budget,
+                }
+            })
+            .collect();
+        let mut leaf_calls = 0;
+        call_chain(&mut levels, cause, false, now, &mut leaf_calls);
+        prop_assert!(leaf_calls <= u64::from(MAX_ATTEMPTS), "{leaf_calls} leaf calls");
+    }
+}
+
+/// Guards against refused calls that come back together: the waits must differ and grow.
+#[test]
+fn waits_are_jittered_and_grow() {
+    let bound = |attempts| (0..64u64).map(move |n| wait(Cause::ServerFault, attempts, n << 58));
+    let mut waits: VecDeque<_> = bound(1).collect();
+    assert_eq!(waits.pop_front(), Some(Duration::ZERO));
+    assert!(waits.iter().zip(waits.iter().skip(1)).all(|(a, b)| a < b));
+    assert!(bound(2).max() > bound(1).max());
+}
