--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,11 @@
 
 use {
     crate::{
+<<<<<<< HEAD
         model::{Endpoint, Rank, ServerName, ServerState, ServiceName},
+=======
+        model::{Endpoint, Rank, ServerName, ServiceName},
+>>>>>>> route
         routes::{Candidates, Distance, Route, Snapshot},
     },
     draw::{Draws, Scored, draw},
@@ -232,7 +236,11 @@
         self.scored.clear();
         self.probing.clear();
         for (at, endpoint) in group.iter().enumerate() {
+<<<<<<< HEAD
             if endpoint.state == ServerState::Draining || exclude.contains(&endpoint.server) {
+=======
+            if exclude.contains(&endpoint.server) {
+>>>>>>> route
                 continue;
             }
             if !self.servers.contains_key(&endpoint.server) {
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -1,7 +1,11 @@
 use {
     super::*,
     crate::{
+<<<<<<< HEAD
         model::{DaemonName, DataCentre, Region},
+=======
+        model::{DaemonName, DataCentre, Region, ServerState},
+>>>>>>> route
         routes::Location,
     },
     proptest::{prelude::*, test_runner::RngSeed},
@@ -9,6 +13,11 @@
     std::collections::BTreeMap,
 };
 
+<<<<<<< HEAD
+=======
+mod policy;
+
+>>>>>>> route
 const SERVERS: u8 = 6;
 
 fn name(server: u8) -> ServerName {
@@ -259,6 +268,7 @@
     #[test]
     fn picks_stay_within_the_rules(sequential 1..150 => BalanceTest);
 }
+<<<<<<< HEAD
 
 /// Calls per server out of `calls`, one each 10 ms, with the outcome and the milliseconds that
 /// `answer` gives for a server.
@@ -414,3 +424,5 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(distance(Rank::Low, later), Distance::OwnDataCentre);
 }
+=======
+>>>>>>> route
