--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,11 +6,7 @@
 
 use {
     crate::{
-<<<<<<< HEAD
-        model::{Endpoint, Rank, ServerName, ServerState, ServiceName},
-=======
         model::{Endpoint, Rank, ServerName, ServiceName},
->>>>>>> route
         routes::{Candidates, Distance, Route, Snapshot},
     },
     draw::{Draws, Scored, draw},
@@ -236,11 +232,7 @@
         self.scored.clear();
         self.probing.clear();
         for (at, endpoint) in group.iter().enumerate() {
-<<<<<<< HEAD
-            if endpoint.state == ServerState::Draining || exclude.contains(&endpoint.server) {
-=======
             if exclude.contains(&endpoint.server) {
->>>>>>> route
                 continue;
             }
             if !self.servers.contains_key(&endpoint.server) {
