Add versions and the state machine of the config group

Cause: nothing held the configuration, led from one version to another or decided about edits.

All checks of a delta run before the store is touched.

Checked by removing one mechanism at a time (restored afterwards): - edit id: `racing_edits_are_accepted_once` printed "left: Conflict { current: Version(2) } right: Repeated { version: Version(1) }", and `replicas_agree_and_ids_are_accepted_once` printed "left: Accepted { version: Version(2) }, right: Repeated { version: Version(1) }". - floor: `nothing_is_in_force_below_the_floor` printed "assertion failed: child.in_force().is_none()". - digest check: `a_damaged_delta_changes_nothing` printed "assertion failed: refused".

--- /dev/null
+++ b/src/edits/tests.rs
@@ -0,0 +1,184 @@
+use {
+    super::*,
+    crate::model::{Digest, Grant, Plan, Rank},
+    proptest::{prelude::*, test_runner::RngSeed},
+};
+
+fn command(edit_id: u128, base: u64, name: &str) -> EditCommand {
+    let plans = vec![Plan {
+        name: name.into(),
+        key_hashes: vec![Digest::of(name.as_bytes())],
+        home_region: "lothian".into(),
+    }];
+    EditCommand {
+        edit_id: EditId(edit_id),
+        base: Version(base),
+        change: Change {
+            plans,
+            ..Change::default()
+        },
+        time: 1,
+    }
+}
+
+fn run(state: &mut State, command: &EditCommand) -> EditReply {
+    let index = state.applied() + 1;
+    wire::decode(&apply(state, index, &wire::encode(command).unwrap())).unwrap()
+}
+
+/// Guards against two accepted edits on one base, and against a resend that is accepted twice
+/// or answered otherwise than at first.
+#[test]
+fn racing_edits_are_accepted_once() {
+    let mut state = State::default();
+    let (first, second) = (command(1, 0, "a"), command(2, 0, "b"));
+    assert_eq!(
+        run(&mut state, &first),
+        EditReply::Accepted {
+            version: Version(1)
+        }
+    );
+    assert_eq!(
+        run(&mut state, &second),
+        EditReply::Conflict {
+            current: Version(1)
+        }
+    );
+    let third = command(3, 1, "c");
+    assert_eq!(
+        run(&mut state, &third),
+        EditReply::Accepted {
+            version: Version(2)
+        }
+    );
+    assert_eq!(
+        run(&mut state, &first),
+        EditReply::Repeated {
+            version: Version(1)
+        }
+    );
+    assert_eq!(state.store().version(), Version(2));
+}
+
+/// Guards against a rejected edit that leaves something behind.
+#[test]
+fn an_invalid_edit_changes_nothing() {
+    let mut state = State::default();
+    run(&mut state, &command(1, 0, "a"));
+    let digest = state.store().digest();
+    let mut wrong = command(2, 1, "b");
+    wrong.change.grants.push(Grant {
+        plan: "missing".into(),
+        service: "charts".into(),
+        servers: vec![],
+        capacity: 1,
+        rank: Rank::Low,
+    });
+    let reply = run(&mut state, &wrong);
+    let reason =
+        "version 2: grant of \"charts\" to plan \"missing\" refers to a plan that does not exist";
+    assert_eq!(
+        reply,
+        EditReply::Invalid {
+            reason: reason.to_owned()
+        }
+    );
+    assert_eq!(state.store().digest(), digest);
+    assert_eq!(
+        run(&mut state, &command(2, 1, "b")),
+        EditReply::Accepted {
+            version: Version(2)
+        }
+    );
+}
+
+/// Guards against growth without bound; an old resend still isn't accepted twice.
+#[test]
+fn answers_are_remembered_in_a_bounded_way() {
+    let mut state = State::default();
+    for n in 0..=MAX_ANSWERS as u64 {
+        let accepted = run(&mut state, &command(u128::from(n), n, "a"));
+        assert_eq!(
+            accepted,
+            EditReply::Accepted {
+                version: Version(n + 1)
+            }
+        );
+    }
+    assert!(state.answers.len() <= MAX_ANSWERS);
+    let current = Version(MAX_ANSWERS as u64 + 1);
+    assert_eq!(
+        run(&mut state, &command(0, 0, "a")),
+        EditReply::Conflict { current }
+    );
+    let last = current.0 - 1;
+    let repeated = run(&mut state, &command(u128::from(last), last, "a"));
+    assert_eq!(repeated, EditReply::Repeated { version: current });
+}
+
+/// Guards against an entry that is applied a second time after a restart.
+#[test]
+fn an_entry_is_applied_once() {
+    let mut state = State::default();
+    let buf = wire::encode(&command(1, 0, "a")).unwrap();
+    apply(&mut state, 5, &buf);
+    let other = wire::encode(&command(2, 1, "b")).unwrap();
+    let reply: EditReply = wire::decode(&apply(&mut state, 5, &other)).unwrap();
+    assert!(matches!(reply, EditReply::Invalid { .. }));
+    assert_eq!(state.store().version(), Version(1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x6564_6974),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against replicas that differ after a snapshot, and against edits that are lost or
+    /// accepted twice. The oracle is a list of accepted ids.
+    #[test]
+    fn replicas_agree_and_ids_are_accepted_once(
+        edits in prop::collection::vec((0..12_u128, 0..3_u64, 0..5_u8, any::<bool>()), 1..60),
+    ) {
+        let mut leader = State::default();
+        let mut follower = State::default();
+        let mut oracle: Vec<u128> = Vec::new();
+        for (id, behind, name, restart) in edits {
+            let current = oracle.len() as u64;
+            let command = command(id, current.saturating_sub(behind), &name.to_string());
+            let expected = match oracle.iter().position(|known| *known == id) {
+                Some(at) => EditReply::Repeated { version: Version(at as u64 + 1) },
+                None if command.base.0 != current => EditReply::Conflict { current: Version(current) },
+                None => {
+                    oracle.push(id);
+                    EditReply::Accepted { version: Version(current + 1) }
+                }
+            };
+            prop_assert_eq!(run(&mut leader, &command), expected.clone());
+            prop_assert_eq!(run(&mut follower, &command), expected);
+            if restart {
+                follower = restore(&snapshot(&follower).unwrap()).unwrap();
+            }
+        }
+        prop_assert_eq!(snapshot(&leader).unwrap(), snapshot(&follower).unwrap());
+    }
+
+    /// Guards against a panic or a wrong state from damaged bytes.
+    #[test]
+    fn damaged_bytes_are_refused(noise in prop::collection::vec(any::<u8>(), 0..200), at in any::<prop::sample::Index>(), bit in 0..8_u8) {
+        let mut state = State::default();
+        run(&mut state, &command(1, 0, "a"));
+        let before = state.store().digest();
+        let reply = apply(&mut state, 2, &noise);
+        prop_assert!(wire::decode::<EditReply>(&reply).is_ok());
+        prop_assert_eq!(state.store().digest(), before);
+        prop_assert!(restore(&noise).is_err());
+        let mut damaged = snapshot(&state).unwrap();
+        let at = at.index(damaged.len());
+        damaged[at] ^= 1 << bit;
+        if let Ok(restored) = restore(&damaged) {
+            prop_assert!(restored.store().is_intact());
+        }
+    }
+}
--- /dev/null
+++ b/src/versions/change.rs
@@ -0,0 +1,264 @@
+//! Changes to the two lists, and why one is refused.
+
+use {
+    crate::model::{Config, Digest, Grant, GrantKey, Plan, PlanName, Version},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{HashMap, HashSet},
+        fmt,
+    },
+};
+
+/// Most plans, and most grants, that a configuration may hold; ten times the size to design for.
+pub const MAX_RECORDS: usize = 50_000;
+
+/// Most bytes of names and keys in one record, so that each record fits into a message.
+pub const MAX_RECORD: usize = 256 * 1024;
+
+/// Upserts and removals of plans and grants.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Plans that are new or have changed.
+    pub plans: Vec<Plan>,
+    /// Plans that no longer exist.
+    pub removed_plans: Vec<PlanName>,
+    /// Grants that are new or have changed.
+    pub grants: Vec<Grant>,
+    /// Grants that no longer exist.
+    pub removed_grants: Vec<GrantKey>,
+}
+
+impl Change {
+    /// Number of records that are upserted or removed.
+    pub const fn len(&self) -> usize {
+        self.plans.len() + self.removed_plans.len() + self.grants.len() + self.removed_grants.len()
+    }
+
+    /// Whether nothing is upserted or removed.
+    pub const fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Names one record of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// A plan.
+    Plan(PlanName),
+    /// A grant.
+    Grant(GrantKey),
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Plan(name) => write!(f, "plan {name:?}"),
+            Self::Grant(key) => write!(f, "grant of {:?} to plan {:?}", key.service, key.plan),
+        }
+    }
+}
+
+/// Why a delta or an edit was not applied; the store is unchanged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ApplyError {
+    /// The delta doesn't lead to a newer version.
+    NotNewer {
+        /// Version in the store.
+        current: Version,
+        /// Version that the delta leads to.
+        to: Version,
+    },
+    /// The delta starts from another version.
+    WrongBase {
+        /// Version in the store.
+        current: Version,
+        /// Version from which the delta starts.
+        from: Version,
+        /// Version that the delta leads to.
+        to: Version,
+    },
+    /// The result doesn't have the digest that the delta names.
+    Digest {
+        /// Version that the delta leads to.
+        to: Version,
+        /// Digest that the delta names.
+        expected: Digest,
+        /// Digest of the result.
+        actual: Digest,
+    },
+    /// A record of the result is not allowed.
+    Record {
+        /// Version that would have been made.
+        to: Version,
+        /// The record.
+        record: Record,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+    /// The change holds no records.
+    Empty {
+        /// Version that would have been made.
+        to: Version,
+    },
+    /// The result would hold more records than [`MAX_RECORDS`].
+    TooMany {
+        /// Version that would have been made.
+        to: Version,
+        /// Number of plans or grants.
+        records: usize,
+    },
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotNewer { current, to } => {
+                write!(f, "version {to} is not newer than version {current}")
+            }
+            Self::WrongBase { current, from, to } => write!(
+                f,
+                "delta from version {from} to {to} does not apply to version {current}"
+            ),
+            Self::Digest {
+                to,
+                expected,
+                actual,
+            } => write!(
+                f,
+                "version {to} has digest {actual}, but the delta names {expected}"
+            ),
+            Self::Record { to, record, reason } => write!(f, "version {to}: {record} {reason}"),
+            Self::Empty { to } => write!(f, "version {to}: the change holds no records"),
+            Self::TooMany { to, records } => write!(
+                f,
+                "version {to}: {records} records of one list exceed the limit of {MAX_RECORDS}"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+/// Checks that each record of `change` is named once and that each grant of the result has its
+/// plan.
+pub(super) fn check_references(
+    cfg: &Config,
+    change: &Change,
+    to: Version,
+) -> Result<(), ApplyError> {
+    let fail = |record, reason| Err(ApplyError::Record { to, record, reason });
+    let mut plans = HashSet::with_capacity(change.plans.len());
+    for plan in &change.plans {
+        if !plans.insert(&plan.name) {
+            return fail(Record::Plan(plan.name.clone()), "occurs twice");
+        }
+    }
+    let mut removed = HashSet::with_capacity(change.removed_plans.len());
+    for name in &change.removed_plans {
+        if !removed.insert(name) {
+            return fail(Record::Plan(name.clone()), "is removed twice");
+        }
+    }
+    if let Some(name) = removed.iter().find(|name| plans.contains(*name)) {
+        return fail(Record::Plan((*name).clone()), "is both set and removed");
+    }
+    let mut grants = HashSet::with_capacity(change.grants.len());
+    for grant in &change.grants {
+        let key = grant.key();
+        let known = plans.contains(&grant.plan)
+            || (cfg.plans.contains_key(&grant.plan) && !removed.contains(&grant.plan));
+        if !known {
+            return fail(Record::Grant(key), "refers to a plan that does not exist");
+        }
+        if !grants.insert(key.clone()) {
+            return fail(Record::Grant(key), "occurs twice");
+        }
+    }
+    let mut removed_grants = HashSet::with_capacity(change.removed_grants.len());
+    for key in &change.removed_grants {
+        if !removed_grants.insert(key) {
+            return fail(Record::Grant(key.clone()), "is removed twice");
+        }
+    }
+    if let Some(key) = removed_grants.iter().find(|key| grants.contains(**key)) {
+        return fail(Record::Grant((*key).clone()), "is both set and removed");
+    }
+    for name in removed {
+        let left = grants_of(cfg, name).find(|key| !removed_grants.contains(key));
+        if let Some(key) = left {
+            return fail(
+                Record::Grant(key.clone()),
+                "refers to a plan that is removed",
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Checks what only an edit can break: sizes, removals of records that don't exist, and keys
+/// that two plans share.
+pub(super) fn check_edit(cfg: &Config, change: &Change, to: Version) -> Result<(), ApplyError> {
+    let fail = |record, reason| Err(ApplyError::Record { to, record, reason });
+    if change.is_empty() {
+        return Err(ApplyError::Empty { to });
+    }
+    for plan in &change.plans {
+        let size = plan.key_hashes.len() * size_of::<Digest>()
+            + plan.name.as_str().len()
+            + plan.home_region.as_str().len();
+        if size > MAX_RECORD {
+            return fail(Record::Plan(plan.name.clone()), "is too large");
+        }
+    }
+    for grant in &change.grants {
+        let names: usize = grant
+            .servers
+            .iter()
+            .map(|name| name.as_str().len() + 8)
+            .sum();
+        if names + grant.plan.as_str().len() + grant.service.as_str().len() > MAX_RECORD {
+            return fail(Record::Grant(grant.key()), "is too large");
+        }
+    }
+    let missing = |name: &&PlanName| !cfg.plans.contains_key(*name);
+    if let Some(name) = change.removed_plans.iter().find(missing) {
+        return fail(Record::Plan(name.clone()), "is removed but does not exist");
+    }
+    let missing = |key: &&GrantKey| !cfg.grants.contains_key(*key);
+    if let Some(key) = change.removed_grants.iter().find(missing) {
+        return fail(Record::Grant(key.clone()), "is removed but does not exist");
+    }
+    check_keys(cfg, change, to)
+}
+
+fn check_keys(cfg: &Config, change: &Change, to: Version) -> Result<(), ApplyError> {
+    if change.plans.is_empty() {
+        return Ok(());
+    }
+    let replaced: HashSet<_> = change.plans.iter().map(|plan| &plan.name).collect();
+    let removed: HashSet<_> = change.removed_plans.iter().collect();
+    let kept = cfg
+        .plans
+        .values()
+        .filter(|plan| !replaced.contains(&plan.name) && !removed.contains(&plan.name));
+    let mut owners = HashMap::new();
+    for plan in kept.chain(&change.plans) {
+        for key in &plan.key_hashes {
+            if owners.insert(key, &plan.name).is_some() {
+                let record = Record::Plan(plan.name.clone());
+                let reason = "has a key hash that occurs twice";
+                return Err(ApplyError::Record { to, record, reason });
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Keys of the grants of one plan; the grants are sorted by plan.
+fn grants_of<'a>(cfg: &'a Config, plan: &'a PlanName) -> impl Iterator<Item = &'a GrantKey> {
+    let first = cfg.grants.partition_point(|key, _| key.plan < *plan);
+    (first..cfg.grants.len())
+        .filter_map(|i| cfg.grants.get_index(i))
+        .map(|(key, _)| key)
+        .take_while(move |key| key.plan == *plan)
+}
--- /dev/null
+++ b/src/versions/tests.rs
@@ -0,0 +1,334 @@
+use {
+    super::*,
+    crate::{model::*, wire},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::collections::BTreeMap,
+};
+
+fn plan(name: u8, key: u16) -> Plan {
+    Plan {
+        name: format!("plan-{name}").as_str().into(),
+        key_hashes: vec![Digest::of(&[&[name][..], &key.to_le_bytes()].concat())],
+        home_region: "fukuoka".into(),
+    }
+}
+
+fn grant(plan: u8, service: u8, capacity: u32) -> Grant {
+    Grant {
+        plan: format!("plan-{plan}").as_str().into(),
+        service: format!("service-{service}").as_str().into(),
+        servers: vec!["server-1".into()],
+        capacity,
+        rank: Rank::Normal,
+    }
+}
+
+/// Sets or removes one record; a removal of a plan takes its grants along.
+#[derive(Clone, Debug)]
+enum Step {
+    Plan(u8, u16),
+    Grant(u8, u8, u32),
+    RemovePlan(u8),
+    RemoveGrant(u8, u8),
+    CatchUp(usize),
+    CutCatchUp(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0..6_u8, any::<u16>()).prop_map(|(name, key)| Step::Plan(name, key)),
+        4 => (0..6_u8, 0..4_u8, 0..9_u32).prop_map(|(p, s, c)| Step::Grant(p, s, c)),
+        1 => (0..6_u8).prop_map(Step::RemovePlan),
+        1 => (0..6_u8, 0..4_u8).prop_map(|(p, s)| Step::RemoveGrant(p, s)),
+        3 => (0..3_usize).prop_map(Step::CatchUp),
+        1 => (0..3_usize).prop_map(Step::CutCatchUp),
+    ]
+}
+
+fn change_of(cfg: &Config, step: &Step) -> Change {
+    let mut change = Change::default();
+    match step {
+        Step::Plan(name, key) => change.plans.push(plan(*name, *key)),
+        Step::Grant(p, s, c) => change.grants.push(grant(*p, *s, *c)),
+        Step::RemovePlan(name) => {
+            let name = plan(*name, 0).name;
+            let grants = cfg.grants.keys().filter(|key| key.plan == name);
+            change.removed_grants = grants.cloned().collect();
+            change.removed_plans.push(name);
+        }
+        Step::RemoveGrant(p, s) => change.removed_grants.push(grant(*p, *s, 0).key()),
+        Step::CatchUp(_) | Step::CutCatchUp(_) => {}
+    }
+    change
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x7645_7273),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a delta that misses a change or a removal, against stores whose digest
+    /// depends on the way by which a version was reached, and against records out of order.
+    #[test]
+    fn deltas_rebuild_the_accepted_version(steps in prop::collection::vec(step(), 1..60)) {
+        let mut control = ConfigStore::with_config(Config::default());
+        let mut children = vec![ConfigStore::new(); 3];
+        let mut accepted = BTreeMap::from([(Version(0), Config::default())]);
+        for step in &steps {
+            if let Step::CatchUp(child) | Step::CutCatchUp(child) = step {
+                // A child may be served by another child, as under a relay.
+                let sources = [control.clone(), children[(child + 1) % 3].clone()];
+                let child = &mut children[*child];
+                child.require(Version(1));
+                let source = &sources[usize::from(matches!(step, Step::CutCatchUp(_)))];
+                if let Some(delta) = source.delta_since(child.version()) {
+                    let before = child.version();
+                    let cfg = child.apply(&delta).unwrap();
+                    prop_assert!(cfg.version > before);
+                }
+                prop_assert_eq!(&**child.config(), &accepted[&child.version()]);
+                prop_assert_eq!(child.digest(), digest_of(child.config()));
+                prop_assert!(child.is_intact());
+                continue;
+            }
+            let before = (**control.config()).clone();
+            if let Ok(cfg) = control.edit(&change_of(&before, step)) {
+                accepted.insert(cfg.version, (*cfg).clone());
+            } else {
+                prop_assert_eq!(&**control.config(), &before);
+            }
+        }
+    }
+
+    /// Guards against a part of a delta coming into force, and against a store that changes when
+    /// a delta fails.
+    #[test]
+    fn a_damaged_delta_changes_nothing(
+        steps in prop::collection::vec(step(), 4..40), which in any::<prop::sample::Index>(),
+    ) {
+        let mut control = ConfigStore::with_config(Config::default());
+        for step in &steps {
+            let change = change_of(control.config(), step);
+            drop(control.edit(&change));
+        }
+        let mut child = ConfigStore::new();
+        let Some(mut delta) = control.delta_since(child.version()) else { return Ok(()) };
+        if delta.change.is_empty() {
+            return Ok(());
+        }
+        let at = which.index(delta.change.plans.len().max(1));
+        if delta.change.plans.is_empty() {
+            delta.change.grants.pop();
+        } else {
+            delta.change.plans[at].home_region = "kumamoto".into();
+        }
+        let before = child.clone();
+        let refused = matches!(child.apply(&delta), Err(ApplyError::Digest { .. } | ApplyError::Record { .. }));
+        prop_assert!(refused);
+        prop_assert_eq!(child.config(), before.config());
+        prop_assert_eq!(child.digest(), before.digest());
+    }
+}
+
+fn edited(versions: u16) -> ConfigStore {
+    let mut control = ConfigStore::with_config(Config::default());
+    for key in 0..versions {
+        let plans = vec![plan((key % 200) as u8, key)];
+        control
+            .edit(&Change {
+                plans,
+                ..Change::default()
+            })
+            .unwrap();
+    }
+    control
+}
+
+/// Guards against a catch-up that sends each missed version.
+#[test]
+fn one_delta_covers_hundreds_of_versions() {
+    let mut control = edited(300);
+    let mut child = ConfigStore::new();
+    child
+        .apply(&control.delta_since(Version(0)).unwrap())
+        .unwrap();
+    for capacity in 0..400 {
+        let grants = vec![grant(1, 1, capacity)];
+        control
+            .edit(&Change {
+                grants,
+                ..Change::default()
+            })
+            .unwrap();
+    }
+    let delta = control.delta_since(child.version()).unwrap();
+    assert!(!delta.full);
+    assert_eq!(delta.change.len(), 1);
+    child.apply(&delta).unwrap();
+    assert_eq!(child.digest(), control.digest());
+}
+
+/// Guards against a delta that forgets removals older than the tombstones.
+#[test]
+fn a_full_copy_is_sent_when_tombstones_do_not_reach_back() {
+    let mut control = ConfigStore::with_config(Config::default());
+    let plans = vec![plan(1, 1)];
+    control
+        .edit(&Change {
+            plans,
+            ..Change::default()
+        })
+        .unwrap();
+    let many: Vec<_> = (0..=MAX_TOMBSTONES)
+        .map(|n| Grant {
+            service: n.to_string().as_str().into(),
+            ..grant(1, 1, 1)
+        })
+        .collect();
+    control
+        .edit(&Change {
+            grants: many.clone(),
+            ..Change::default()
+        })
+        .unwrap();
+    let mut child = ConfigStore::new();
+    child
+        .apply(&control.delta_since(Version(0)).unwrap())
+        .unwrap();
+    let removed_grants = many.iter().map(Grant::key).collect();
+    control
+        .edit(&Change {
+            removed_grants,
+            ..Change::default()
+        })
+        .unwrap();
+    let delta = control.delta_since(child.version()).unwrap();
+    assert!(delta.full);
+    assert_eq!(child.apply(&delta).unwrap().grants.len(), 0);
+}
+
+/// Guards against going back, and against a delta applied to a version that it doesn't fit.
+#[test]
+fn a_delta_never_goes_back_and_names_the_versions() {
+    let control = edited(20);
+    let old = edited(10);
+    let mut child = ConfigStore::new();
+    child
+        .apply(&control.delta_since(Version(0)).unwrap())
+        .unwrap();
+    let mut back = old.delta_since(Version(0)).unwrap();
+    let error = child.apply(&back).unwrap_err();
+    assert_eq!(error.to_string(), "version 10 is not newer than version 20");
+    (back.from, back.to, back.full) = (Version(9), Version(30), false);
+    let error = child.apply(&back).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "delta from version 9 to 30 does not apply to version 20"
+    );
+    assert!(old.delta_since(child.version()).is_none());
+}
+
+/// Guards against a process that starts and serves an older version than the one in force
+/// around it.
+#[test]
+fn nothing_is_in_force_below_the_floor() {
+    let control = edited(5);
+    let mut child = ConfigStore::new();
+    assert!(child.in_force().is_none());
+    child
+        .apply(&edited(3).delta_since(Version(0)).unwrap())
+        .unwrap();
+    assert!(child.in_force().is_none(), "no floor is known");
+    child.require(Version(5));
+    child.require(Version(2));
+    assert!(child.in_force().is_none());
+    child
+        .apply(&control.delta_since(child.version()).unwrap())
+        .unwrap();
+    assert_eq!(child.in_force().unwrap().version, Version(5));
+    child.require(Version(9));
+    assert!(
+        child.in_force().is_some(),
+        "a running process keeps its version"
+    );
+}
+
+/// Guards against grants whose plan is missing and against shared keys.
+#[test]
+fn an_edit_with_wrong_references_is_refused() {
+    let mut control = edited(2);
+    let cases = [
+        (
+            Change {
+                grants: vec![grant(9, 1, 1)],
+                ..Change::default()
+            },
+            "version 3: grant of \"service-1\" to plan \"plan-9\" refers to a plan that does not exist",
+        ),
+        (
+            Change {
+                plans: vec![Plan {
+                    name: "other".into(),
+                    ..plan(1, 1)
+                }],
+                ..Change::default()
+            },
+            "version 3: plan \"other\" has a key hash that occurs twice",
+        ),
+        (
+            Change {
+                removed_plans: vec!["plan-0".into(), "plan-0".into()],
+                ..Change::default()
+            },
+            "version 3: plan \"plan-0\" is removed twice",
+        ),
+        (Change::default(), "version 3: the change holds no records"),
+    ];
+    for (change, message) in cases {
+        assert_eq!(control.edit(&change).unwrap_err().to_string(), message);
+        assert!(control.is_intact());
+    }
+}
+
+/// Guards against full copies that are too large for one message, and against a part that is
+/// applied without the others.
+#[test]
+fn a_large_full_copy_travels_in_parts() {
+    let mut control = ConfigStore::with_config(Config::default());
+    let plans = (0..150_u8)
+        .map(|n| Plan {
+            key_hashes: (0..1_000)
+                .map(|k| Digest::of(&[&[n][..], &u32::to_le_bytes(k)].concat()))
+                .collect(),
+            ..plan(n, 0)
+        })
+        .collect();
+    control
+        .edit(&Change {
+            plans,
+            ..Change::default()
+        })
+        .unwrap();
+    let delta = control.delta_since(Version(0)).unwrap();
+    assert!(wire::encode(&delta).is_err(), "larger than one message");
+    let parts = split(delta.clone()).unwrap();
+    assert!(
+        parts
+            .iter()
+            .all(|part| wire::encode(part).unwrap().len() < wire::MAX_MESSAGE)
+    );
+    let mut collected = Parts::default();
+    let last = parts.len() - 1;
+    for part in &parts[..last] {
+        assert!(collected.push(part.clone()).unwrap().is_none());
+    }
+    let mut cut = collected.clone();
+    cut.push(parts[1].clone()).unwrap_err();
+    assert!(
+        cut.push(parts[last].clone()).is_err(),
+        "the parts before it were discarded"
+    );
+    assert_eq!(collected.push(parts[last].clone()).unwrap(), Some(delta));
+}
