--- /dev/null
+++ b/src/endpoints/directory.rs
@@ -0,0 +1,200 @@
+//! The sets of all data centres, as any process sees them.
+
+use {
+    super::{
+        DROP_AFTER, EndpointDelta, EndpointKey, Epoch, MAX_ENDPOINTS, Position, SetError,
+        entries::Entries,
+    },
+    crate::model::{DataCentre, Endpoint, ServiceName},
+    indexmap::IndexMap,
+    std::time::Instant,
+};
+
+/// Most data centres; bounds positions in messages.
+const MAX_DATA_CENTRES: usize = 64;
+
+/// What an update has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changed {
+    /// Endpoints that are new or have changed.
+    pub upserts: Vec<EndpointKey>,
+    /// Endpoints that are gone.
+    pub removed: Vec<EndpointKey>,
+}
+
+/// Endpoint sets of all data centres.
+///
+/// ```
+/// use {anvilbeam::endpoints::*, std::time::Instant};
+/// let now = Instant::now();
+/// let own = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
+/// let mut directory = Directory::default();
+/// directory.apply(&own.delta_since(Epoch::default(), 0).unwrap(), now).unwrap();
+/// assert_eq!(directory.positions(), [own.position()]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    sets: IndexMap<DataCentre, Set>,
+}
+
+#[derive(Clone, Debug)]
+struct Set {
+    entries: Entries,
+    drop_at: Instant,
+}
+
+impl Directory {
+    /// Takes an update of one set.
+    ///
+    /// # Errors
+    /// [`SetError::Stale`] when the update is not newer, [`SetError::Gap`] when a full set has to
+    /// be requested, [`SetError::TooMany`] or [`SetError::Foreign`]; nothing has changed then.
+    pub fn apply(&mut self, delta: &EndpointDelta, now: Instant) -> Result<Changed, SetError> {
+        self.check(delta)?;
+        let old = self
+            .sets
+            .swap_remove(&delta.data_centre)
+            .map(|set| set.entries);
+        let mut changed = Changed::default();
+        let mut entries = match old {
+            Some(entries) if !delta.full => entries,
+            old => {
+                let new = Entries::new(delta.data_centre.clone(), delta.epoch, delta.seq);
+                return Ok(self.replace(old.as_ref(), new, delta, now));
+            }
+        };
+        for key in &delta.removed {
+            if entries.remove(key, delta.seq) {
+                changed.removed.push(key.clone());
+            }
+        }
+        for endpoint in &delta.upserts {
+            if entries.upsert(endpoint, delta.seq) {
+                changed.upserts.push(EndpointKey::of(endpoint));
+            }
+        }
+        entries.seq = delta.seq;
+        let drop_at = now + DROP_AFTER;
+        self.sets
+            .insert(delta.data_centre.clone(), Set { entries, drop_at });
+        Ok(changed)
+    }
+
+    fn replace(
+        &mut self,
+        old: Option<&Entries>,
+        mut new: Entries,
+        delta: &EndpointDelta,
+        now: Instant,
+    ) -> Changed {
+        let mut changed = Changed::default();
+        for endpoint in &delta.upserts {
+            new.upsert(endpoint, delta.seq);
+            let key = EndpointKey::of(endpoint);
+            if old.and_then(|old| old.get(&key)) != Some(endpoint) {
+                changed.upserts.push(key);
+            }
+        }
+        let lost = old.into_iter().flat_map(Entries::keys);
+        let lost = lost.filter(|key| new.get(key).is_none());
+        changed.removed.extend(lost.cloned());
+        let drop_at = now + DROP_AFTER;
+        let set = Set {
+            entries: new,
+            drop_at,
+        };
+        self.sets.insert(delta.data_centre.clone(), set);
+        changed
+    }
+
+    fn check(&self, delta: &EndpointDelta) -> Result<(), SetError> {
+        let update = (delta.epoch, delta.seq);
+        let base = (delta.epoch, delta.from);
+        let held = self.sets.get(&delta.data_centre).map(|set| &set.entries);
+        if let Some(held) = held.filter(|held| update <= (held.epoch, held.seq)) {
+            let held = held.position();
+            return Err(SetError::Stale { held, update });
+        }
+        if !delta.full && held.is_none_or(|held| base != (held.epoch, held.seq)) {
+            let held = held.map(Entries::position);
+            return Err(SetError::Gap { held, update: base });
+        }
+        let foreign = |endpoint: &&Endpoint| endpoint.data_centre != delta.data_centre;
+        if let Some(endpoint) = delta.upserts.iter().find(foreign) {
+            return Err(SetError::Foreign {
+                key: EndpointKey::of(endpoint),
+                data_centre: endpoint.data_centre.clone(),
+            });
+        }
+        let known = if delta.full {
+            0
+        } else {
+            held.map_or(0, Entries::len)
+        };
+        let endpoints = (known + delta.upserts.len()).saturating_sub(delta.removed.len());
+        if endpoints > MAX_ENDPOINTS || (held.is_none() && self.sets.len() >= MAX_DATA_CENTRES) {
+            return Err(SetError::TooMany {
+                data_centre: delta.data_centre.clone(),
+                endpoints,
+            });
+        }
+        Ok(())
+    }
+
+    /// Drops the sets that have had no update for [`DROP_AFTER`]; returns their data centres.
+    pub fn expire(&mut self, now: Instant) -> Vec<DataCentre> {
+        let silent = self.sets.iter().filter(|(_, set)| set.drop_at <= now);
+        let dropped: Vec<_> = silent.map(|(data_centre, _)| data_centre.clone()).collect();
+        for data_centre in &dropped {
+            self.sets.swap_remove(data_centre);
+        }
+        dropped
+    }
+
+    /// How far each set is known, to subscribe with.
+    pub fn positions(&self) -> Vec<Position> {
+        self.sets
+            .values()
+            .map(|set| set.entries.position())
+            .collect()
+    }
+
+    /// How far one set is known.
+    pub fn position(&self, data_centre: &DataCentre) -> Option<Position> {
+        self.sets.get(data_centre).map(|set| set.entries.position())
+    }
+
+    /// The deltas that bring a process with `positions` up to this directory.
+    pub fn deltas_since(&self, positions: &[Position]) -> Vec<EndpointDelta> {
+        let since = |data_centre: &DataCentre| {
+            let held = positions
+                .iter()
+                .find(|held| held.data_centre == *data_centre);
+            held.map_or((Epoch::default(), 0), |held| (held.epoch, held.seq))
+        };
+        let deltas = self.sets.iter().filter_map(|(data_centre, set)| {
+            let (epoch, seq) = since(data_centre);
+            set.entries.delta_since(epoch, seq)
+        });
+        deltas.collect()
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.sets.values().flat_map(|set| set.entries.iter())
+    }
+
+    /// The endpoints of one service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Endpoint> {
+        self.iter()
+            .filter(move |endpoint| endpoint.service == *service)
+    }
+
+    /// The endpoints of one data centre.
+    pub fn of_data_centre(&self, data_centre: &DataCentre) -> impl Iterator<Item = &Endpoint> {
+        self.sets
+            .get(data_centre)
+            .into_iter()
+            .flat_map(|set| set.entries.iter())
+    }
+}
