Add numbered events, logging and metrics

Cause: operators need log lines that keep their meaning, and figures on /metrics. Conclusion: events of each call on its usual course are at debug level.

--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,254 @@
+//! Numbered log events; `docs/events.md` describes each.
+
+#[cfg(test)]
+mod tests;
+
+use {
+    log::Level,
+    std::fmt::{self, Write as _},
+    strum::{Display, EnumIter, IntoStaticStr},
+};
+
+/// Target of all events in the log.
+pub const TARGET: &str = "anvilbeam::event";
+
+/// An event with a number that never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum Event {
+    /// A program has bound its addresses.
+    Started = 101,
+    /// A graceful shutdown began.
+    Stopping = 102,
+    /// The shutdown is complete.
+    Stopped = 103,
+    /// The settings are not valid.
+    SettingsRefused = 104,
+    /// An address could not be bound.
+    BindFailed = 105,
+    /// A daemon takes calls.
+    Ready = 106,
+    /// A daemon refuses calls until it has a configuration.
+    NotReady = 107,
+
+    /// A daemon has a new version in force.
+    VersionApplied = 201,
+    /// A daemon kept its version instead of applying an update.
+    VersionRefused = 202,
+    /// A daemon learned the lowest version that it may have in force.
+    FloorLearned = 203,
+    /// A full copy replaces the deltas that a daemon missed.
+    CatchUp = 204,
+
+    /// A daemon subscribed to a parent.
+    ParentChosen = 301,
+    /// The stream from the parent ended.
+    ParentLost = 302,
+    /// The control leader made a daemon the relay.
+    RelayLeaseGranted = 303,
+    /// A relay lease ended without renewal.
+    RelayLeaseEnded = 304,
+    /// A backend server announced itself.
+    EndpointAnnounced = 305,
+    /// A backend server did not renew its lease.
+    EndpointLapsed = 306,
+    /// A backend server gets no more new work.
+    EndpointDraining = 307,
+    /// A newer endpoint set of a data centre is in use.
+    EndpointSetApplied = 308,
+
+    /// A call has a backend server.
+    CallRouted = 401,
+    /// A call was refused by the entry daemon.
+    CallRefused = 402,
+    /// A call is tried again.
+    CallRetried = 403,
+    /// A backend server gets no calls for a time.
+    ServerEjected = 404,
+    /// An ejected backend server gets calls again.
+    ServerReturned = 405,
+    /// The caller disconnected, so the call was cancelled downstream.
+    CallCancelled = 406,
+    /// A connection stopped responding and was closed.
+    ConnectionClosed = 407,
+
+    /// The owner daemon gave a call a slot.
+    CallAdmitted = 501,
+    /// The owner daemon queued a call.
+    CallQueued = 502,
+    /// The owner daemon refused a call.
+    AdmissionRefused = 503,
+    /// A request was in flight when a backend server crashed.
+    SuspectMarked = 504,
+    /// A suspect ran alone and succeeded.
+    SuspectCleared = 505,
+    /// A suspect crashed a second backend server and is refused everywhere.
+    SuspectCondemned = 506,
+    /// The shares of a grant's capacity changed.
+    SharesChanged = 507,
+
+    /// A non-idempotent request may run.
+    ClaimGranted = 601,
+    /// A key was used before; the stored answer was returned.
+    ClaimRepeated = 602,
+    /// Whether a request ran cannot be determined.
+    ClaimUnknown = 603,
+    /// An attempt was given up before it ran.
+    ClaimReleased = 604,
+    /// The claims group could not be asked.
+    ClaimsUnreachable = 605,
+
+    /// A replica became leader.
+    LeaderElected = 701,
+    /// A leader gave up its term.
+    LeaderSteppedDown = 702,
+    /// The members of a group changed.
+    MemberChanged = 703,
+    /// A snapshot is durable.
+    SnapshotWritten = 704,
+    /// A replica took over a snapshot of the leader.
+    SnapshotInstalled = 705,
+    /// The disk failed or a file is corrupt; the replica stops.
+    DiskFailed = 706,
+    /// An incomplete record at the end of the log was cut off.
+    LogTruncated = 707,
+
+    /// An edit made a version.
+    VersionAccepted = 801,
+    /// The lists of an edit are not valid.
+    EditRefused = 802,
+    /// An edit was made from a version that is not the current one.
+    EditConflict = 803,
+    /// An edit had been accepted before.
+    EditRepeated = 804,
+    /// A request of an operator had no valid token.
+    OperatorRefused = 805,
+}
+
+impl Event {
+    /// The number.
+    ///
+    /// ```
+    /// use anvilbeam::events::Event;
+    /// assert_eq!(Event::CallRetried.number(), 403);
+    /// assert_eq!(Event::CallRetried.name(), "call-retried");
+    /// ```
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// The name, in kebab case.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// Level at which the event is logged. Events of each call are below `info`, unless the call
+    /// does not take its usual course.
+    pub const fn level(self) -> Level {
+        match self {
+            Self::SettingsRefused | Self::BindFailed | Self::DiskFailed => Level::Error,
+            Self::NotReady
+            | Self::VersionRefused
+            | Self::ParentLost
+            | Self::RelayLeaseEnded
+            | Self::EndpointLapsed
+            | Self::ServerEjected
+            | Self::ConnectionClosed
+            | Self::SuspectMarked
+            | Self::SuspectCondemned
+            | Self::ClaimUnknown
+            | Self::ClaimsUnreachable
+            | Self::LeaderSteppedDown
+            | Self::LogTruncated
+            | Self::OperatorRefused => Level::Warn,
+            Self::EndpointSetApplied
+            | Self::CallRouted
+            | Self::CallCancelled
+            | Self::CallAdmitted
+            | Self::CallQueued
+            | Self::SharesChanged
+            | Self::ClaimGranted => Level::Debug,
+            _ => Level::Info,
+        }
+    }
+}
+
+/// Writes one event to the log; fields are not formatted when its level is off.
+///
+/// ```
+/// use anvilbeam::{events::Event, log_event};
+/// log_event!(Event::CallRetried, plan = "depot", attempt = 2);
+/// // event=403 name=call-retried plan=depot attempt=2
+/// ```
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::events::Event = $event;
+        if $crate::events::enabled(event) {
+            $crate::events::write(event, &[$((stringify!($key), &$value)),*]);
+        }
+    }};
+}
+
+/// Whether the log takes events of this level.
+pub fn enabled(event: Event) -> bool {
+    log::log_enabled!(target: TARGET, event.level())
+}
+
+/// Writes one event with its fields to the log. Prefer [`log_event!`](crate::log_event).
+pub fn write(event: Event, fields: &[(&str, &dyn fmt::Display)]) {
+    log::log!(target: TARGET, event.level(), "{}", line(event, fields));
+}
+
+/// The line of an event: `event=NUMBER name=NAME KEY=VALUE ...`. A value with a space, a quote, an
+/// equals sign or a control character is quoted.
+///
+/// ```
+/// use anvilbeam::events::{Event, line};
+/// let text = line(Event::BindFailed, &[("address", &"[::]:80"), ("reason", &"in use")]);
+/// assert_eq!(text, "event=105 name=bind-failed address=[::]:80 reason=\"in use\"");
+/// ```
+pub fn line(event: Event, fields: &[(&str, &dyn fmt::Display)]) -> String {
+    let mut text = format!("event={} name={}", event.number(), event.name());
+    for (key, value) in fields {
+        let value = value.to_string();
+        let plain = !value.is_empty()
+            && !value
+                .chars()
+                .any(|c| c.is_whitespace() || c.is_control() || "\"=\\".contains(c));
+        let written = if plain {
+            write!(text, " {key}={value}")
+        } else {
+            write!(text, " {key}={}", serde_json::Value::from(value))
+        };
+        debug_assert!(written.is_ok(), "a String accepts all writes");
+    }
+    text
+}
+
+/// Splits the line of an event into its fields; `None` when `text` is no such line.
+///
+/// ```
+/// use anvilbeam::events::fields;
+/// let found = fields("event=105 name=bind-failed reason=\"in use\"").unwrap();
+/// assert_eq!(found[2], ("reason".to_owned(), "in use".to_owned()));
+/// ```
+pub fn fields(text: &str) -> Option<Vec<(String, String)>> {
+    let mut rest = text.starts_with("event=").then_some(text)?;
+    let mut found = Vec::new();
+    while !rest.is_empty() {
+        let (key, after) = rest.split_once('=')?;
+        let (value, next) = if after.starts_with('"') {
+            let mut values = serde_json::Deserializer::from_str(after).into_iter::<String>();
+            let value = values.next()?.ok()?;
+            (value, &after[values.byte_offset()..])
+        } else {
+            let end = after.find(' ').unwrap_or(after.len());
+            (after[..end].to_owned(), &after[end..])
+        };
+        found.push((key.to_owned(), value));
+        rest = next.strip_prefix(' ').unwrap_or(next);
+    }
+    Some(found)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,10 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
 pub mod error;
+pub mod events;
 pub mod lists;
+pub mod logging;
+pub mod metrics;
 pub mod model;
 pub mod operator_api;
 pub mod settings;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,238 @@
+//! Counters and gauges of one process, written as text for `/metrics`.
+
+#[cfg(test)]
+mod tests;
+
+use {
+    crate::model::{Rank, Version},
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::{Registry, Unit},
+    },
+    std::{array, time::Duration},
+    strum::{Display, EnumCount, EnumIter, IntoEnumIterator},
+};
+
+/// Upper bounds of the added latency in seconds. The target is 0.5 ms at the 99th percentile.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.000_05, 0.000_1, 0.000_2, 0.000_3, 0.000_5, 0.000_75, 0.001, 0.002, 0.005, 0.01, 0.1, 1.0,
+];
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumCount)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered,
+    /// The backend server answered with a status of 500 or above.
+    Failed,
+    /// The call was refused and did not run.
+    NotRun,
+    /// Whether the call ran is not known.
+    Unknown,
+    /// The deadline passed.
+    Deadline,
+    /// The caller disconnected.
+    Cancelled,
+}
+
+/// Link on which control bytes travel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumCount)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Link {
+    /// To the parent in the distribution tree.
+    Parent,
+    /// To the children in the distribution tree.
+    Children,
+    /// To a claims group.
+    Claims,
+    /// To another region; counted in addition to one of the others.
+    Region,
+}
+
+/// Direction of control bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumCount)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Direction {
+    /// Received by this process.
+    In,
+    /// Sent by this process.
+    Out,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    rank: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabels {
+    rank: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LinkLabels {
+    link: String,
+    direction: String,
+}
+
+/// All metrics of one process. Each is found by index, so that a call takes no lock.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    calls: [[Counter; Outcome::COUNT]; Rank::COUNT],
+    added_latency: Histogram,
+    queue: [Gauge; Rank::COUNT],
+    slots_used: Gauge,
+    slots_total: Gauge,
+    retries: Counter,
+    version: Gauge,
+    control_bytes: [[Counter; Direction::COUNT]; Link::COUNT],
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates the metrics, all zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("anvilbeam");
+
+        let calls = Family::<CallLabels, Counter>::default();
+        registry.register("calls", "Calls by rank and outcome", calls.clone());
+        let calls = by_index(Rank::iter(), |rank| {
+            by_index(Outcome::iter(), |outcome| {
+                calls.get_or_create_owned(&CallLabels {
+                    rank: rank.to_string(),
+                    outcome: outcome.to_string(),
+                })
+            })
+        });
+
+        let added_latency = Histogram::new(LATENCY_BOUNDS);
+        registry.register_with_unit(
+            "added_latency",
+            "Time that the daemons add to a call, without queue and backend server",
+            Unit::Seconds,
+            added_latency.clone(),
+        );
+
+        let queue = Family::<RankLabels, Gauge>::default();
+        registry.register("queue_length", "Calls that wait for a slot", queue.clone());
+        let queue = by_index(Rank::iter(), |rank| {
+            let rank = rank.to_string();
+            queue.get_or_create_owned(&RankLabels { rank })
+        });
+
+        let slots_used = Gauge::default();
+        registry.register("slots_used", "Slots in use", slots_used.clone());
+        let slots_total = Gauge::default();
+        registry.register("slots", "Slots of the backend server", slots_total.clone());
+        let retries = Counter::default();
+        registry.register("retries", "Calls tried again", retries.clone());
+        let version = Gauge::default();
+        registry.register("version", "Version in force", version.clone());
+
+        let bytes = Family::<LinkLabels, Counter>::default();
+        registry.register_with_unit(
+            "control",
+            "Control traffic by link and direction",
+            Unit::Bytes,
+            bytes.clone(),
+        );
+        let control_bytes = by_index(Link::iter(), |link| {
+            by_index(Direction::iter(), |direction| {
+                bytes.get_or_create_owned(&LinkLabels {
+                    link: link.to_string(),
+                    direction: direction.to_string(),
+                })
+            })
+        });
+
+        Self {
+            registry,
+            calls,
+            added_latency,
+            queue,
+            slots_used,
+            slots_total,
+            retries,
+            version,
+            control_bytes,
+        }
+    }
+
+    /// Counts a call that ended.
+    pub fn call(&self, rank: Rank, outcome: Outcome) {
+        self.calls[rank.index()][outcome as usize].inc();
+    }
+
+    /// Records the time that the daemons added to a call.
+    pub fn added_latency(&self, added: Duration) {
+        self.added_latency.observe(added.as_secs_f64());
+    }
+
+    /// Sets the number of calls of `rank` that wait for a slot.
+    pub fn queue_length(&self, rank: Rank, length: usize) {
+        self.queue[rank.index()].set(to_gauge(length as u64));
+    }
+
+    /// Sets the slots in use and all slots of the backend server.
+    pub fn slots(&self, used: u32, total: u32) {
+        self.slots_used.set(used.into());
+        self.slots_total.set(total.into());
+    }
+
+    /// Counts a call that is tried again.
+    pub fn retry(&self) {
+        self.retries.inc();
+    }
+
+    /// Sets the version in force.
+    pub fn version(&self, version: Version) {
+        self.version.set(to_gauge(version.0));
+    }
+
+    /// Counts `bytes` of control traffic.
+    pub fn control_bytes(&self, link: Link, direction: Direction, bytes: u64) {
+        self.control_bytes[link as usize][direction as usize].inc_by(bytes);
+    }
+
+    /// Total of the control bytes on `link`, for budgets and tests.
+    pub fn control_total(&self, link: Link, direction: Direction) -> u64 {
+        self.control_bytes[link as usize][direction as usize].get()
+    }
+
+    /// The metrics as `OpenMetrics` text.
+    ///
+    /// ```
+    /// use anvilbeam::{metrics::Metrics, model::Version};
+    /// let metrics = Metrics::new();
+    /// metrics.version(Version(7));
+    /// assert!(metrics.text().contains("anvilbeam_version 7\n"));
+    /// ```
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let written = text::encode(&mut text, &self.registry);
+        debug_assert!(written.is_ok(), "a String accepts all writes");
+        text
+    }
+}
+
+/// An array with one value for each key, in the order of `keys`.
+fn by_index<K, T, const N: usize>(
+    keys: impl Iterator<Item = K>,
+    mut value: impl FnMut(K) -> T,
+) -> [T; N] {
+    let mut keys = keys.fuse();
+    array::from_fn(|_| value(keys.next().expect("N is the number of keys")))
+}
+
+fn to_gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/src/metrics/tests.rs
@@ -0,0 +1,41 @@
+//! Tests of the metrics text.
+
+use {
+    super::{Direction, Link, Metrics, Outcome},
+    crate::model::{Rank, Version},
+    std::time::Duration,
+};
+
+/// Guards against a metric that is not registered, or counted under a wrong label.
+#[test]
+fn text_has_each_metric_under_its_labels() {
+    let metrics = Metrics::new();
+    metrics.call(Rank::Urgent, Outcome::Answered);
+    metrics.call(Rank::Low, Outcome::NotRun);
+    metrics.call(Rank::Low, Outcome::NotRun);
+    metrics.added_latency(Duration::from_micros(400));
+    metrics.queue_length(Rank::High, 3);
+    metrics.slots(7, 20);
+    metrics.retry();
+    metrics.version(Version(42));
+    metrics.control_bytes(Link::Region, Direction::Out, 512);
+    let text = metrics.text();
+    let expected = [
+        "anvilbeam_calls_total{rank=\"urgent\",outcome=\"answered\"} 1\n",
+        "anvilbeam_calls_total{rank=\"low\",outcome=\"not-run\"} 2\n",
+        "anvilbeam_calls_total{rank=\"high\",outcome=\"unknown\"} 0\n",
+        "anvilbeam_added_latency_seconds_bucket{le=\"0.0005\"} 1\n",
+        "anvilbeam_added_latency_seconds_bucket{le=\"0.0003\"} 0\n",
+        "anvilbeam_queue_length{rank=\"high\"} 3\n",
+        "anvilbeam_slots_used 7\n",
+        "anvilbeam_slots 20\n",
+        "anvilbeam_retries_total 1\n",
+        "anvilbeam_version 42\n",
+        "anvilbeam_control_bytes_total{link=\"region\",direction=\"out\"} 512\n",
+        "# EOF\n",
+    ];
+    for line in expected {
+        assert!(text.contains(line), "{line:?} is not in\n{text}");
+    }
+    assert_eq!(metrics.control_total(Link::Region, Direction::Out), 512);
+}
