Add the command-line options of anvilbeam

Cause: the command line needs typed options before it talks to control. Change: cli defines the commands for gumdrop; options checks them and lets the global options stand before or after the command, which gumdrop does not. Conclusion: validate and diff take both files like put, since a new plan and its grants are only valid together.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,240 @@
+//! Command-line options of `anvilbeam`, as the operator writes them; [`crate::options`] checks them.
+
+use gumdrop::Options;
+
+/// Text after the options of `anvilbeam --help`.
+pub const NOTES: &str = "\
+--control, --token-file and --output may stand before or after the command.
+
+Environment:
+  ANVILBEAM_CONTROL  used when --control is absent
+  ANVILBEAM_TOKEN    the token itself, used when --token-file is absent
+
+Results go to standard output, all other text to standard error.
+
+Exit codes:
+  0  done
+  1  failed
+  2  wrong options
+  3  conflict: the lists changed since the base version
+  4  a list is not valid
+  5  no control replica can be reached
+  6  accepted, but not in force everywhere in time";
+
+/// Shows and edits the plans and grants of a service mesh.
+#[derive(Debug, Default, Options)]
+pub struct Cli {
+    /// print this help, or the help of a command
+    pub help: bool,
+    /// print the version
+    #[options(short = "V")]
+    pub version: bool,
+    /// operator addresses of the control replicas, tried in turn
+    #[options(no_short, meta = "ADDR[,ADDR]")]
+    pub control: Option<String>,
+    /// file that holds the operator's token
+    #[options(no_short, meta = "FILE")]
+    pub token_file: Option<String>,
+    /// form of results: table (default) or json
+    #[options(no_short, meta = "FORM")]
+    pub output: Option<String>,
+    /// the command
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// Commands of `anvilbeam`.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// show, compare, validate or replace the plans
+    Plans(ListCli),
+    /// show, compare, validate or replace the grants
+    Grants(ListCli),
+    /// replace one or both lists in one edit
+    Put(PutBoth),
+    /// compare files with the lists in force
+    Diff(FilesBoth),
+    /// validate files without an edit
+    Validate(FilesBoth),
+    /// show versions, leader and where the current version is in force
+    Status(NoOptions),
+    /// show how a daemon would route a call
+    Explain(Explain),
+    /// show or change the replicas of the config group
+    Members(MembersCli),
+    /// run all roles with stand-in backend servers in this process
+    Dev(Dev),
+}
+
+/// Options of `plans` and `grants`.
+#[derive(Debug, Default, Options)]
+pub struct ListCli {
+    /// print this help
+    pub help: bool,
+    /// what to do with the list
+    #[options(command)]
+    pub command: Option<ListCommand>,
+}
+
+/// What to do with one list.
+#[derive(Debug, Options)]
+pub enum ListCommand {
+    /// print the list; the first line names its version
+    Get(NoOptions),
+    /// replace the list with a file
+    Put(PutOne),
+    /// compare a file with the list
+    Diff(FileOne),
+    /// validate a file without an edit
+    Validate(FileOne),
+}
+
+/// A command without options.
+#[derive(Debug, Default, Options)]
+pub struct NoOptions {
+    /// print this help
+    pub help: bool,
+}
+
+/// One file.
+#[derive(Debug, Default, Options)]
+pub struct FileOne {
+    /// print this help
+    pub help: bool,
+    /// the YAML file
+    #[options(free)]
+    pub file: Option<String>,
+}
+
+/// A file for each list.
+#[derive(Debug, Default, Options)]
+pub struct FilesBoth {
+    /// print this help
+    pub help: bool,
+    /// file with the plans; without it the current plans count
+    #[options(no_short, meta = "FILE")]
+    pub plans: Option<String>,
+    /// file with the grants; without it the current grants count
+    #[options(no_short, meta = "FILE")]
+    pub grants: Option<String>,
+}
+
+/// Options of `plans put` and `grants put`.
+#[derive(Debug, Default, Options)]
+pub struct PutOne {
+    /// print this help
+    pub help: bool,
+    /// the YAML file
+    #[options(free)]
+    pub file: Option<String>,
+    /// version that the file was made from; default: the first line of a file written by get
+    #[options(no_short, meta = "VERSION")]
+    pub base: Option<String>,
+    /// id of the edit; sending the same id again never edits twice; default: random
+    #[options(no_short, meta = "ID")]
+    pub edit_id: Option<String>,
+    /// wait until the version is in force everywhere
+    #[options(no_short)]
+    pub wait: bool,
+    /// longest wait, such as 30s (default)
+    #[options(no_short, meta = "TIME")]
+    pub timeout: Option<String>,
+}
+
+/// Options of `put`.
+#[derive(Debug, Default, Options)]
+pub struct PutBoth {
+    /// print this help
+    pub help: bool,
+    /// file with the new plans
+    #[options(no_short, meta = "FILE")]
+    pub plans: Option<String>,
+    /// file with the new grants
+    #[options(no_short, meta = "FILE")]
+    pub grants: Option<String>,
+    /// version that the files were made from; default: the first line of files written by get
+    #[options(no_short, meta = "VERSION")]
+    pub base: Option<String>,
+    /// id of the edit; sending the same id again never edits twice; default: random
+    #[options(no_short, meta = "ID")]
+    pub edit_id: Option<String>,
+    /// wait until the version is in force everywhere
+    #[options(no_short)]
+    pub wait: bool,
+    /// longest wait, such as 30s (default)
+    #[options(no_short, meta = "TIME")]
+    pub timeout: Option<String>,
+}
+
+/// Options of `explain`.
+#[derive(Debug, Default, Options)]
+pub struct Explain {
+    /// print this help
+    pub help: bool,
+    /// the plan that calls
+    #[options(no_short, meta = "NAME")]
+    pub plan: Option<String>,
+    /// the service that it calls
+    #[options(no_short, meta = "NAME")]
+    pub service: Option<String>,
+    /// local address of the daemon to ask
+    #[options(no_short, meta = "ADDR")]
+    pub daemon: Option<String>,
+}
+
+/// Options of `members`.
+#[derive(Debug, Default, Options)]
+pub struct MembersCli {
+    /// print this help
+    pub help: bool,
+    /// what to do with the members
+    #[options(command)]
+    pub command: Option<MembersCommand>,
+}
+
+/// What to do with the members.
+#[derive(Debug, Options)]
+pub enum MembersCommand {
+    /// show the replicas
+    List(NoOptions),
+    /// add a replica as a learner; it votes once it has caught up
+    Add(AddMember),
+    /// remove a replica for good
+    Remove(RemoveMember),
+}
+
+/// Options of `members add`.
+#[derive(Debug, Default, Options)]
+pub struct AddMember {
+    /// print this help
+    pub help: bool,
+    /// name from the settings of the replica
+    #[options(free)]
+    pub name: Option<String>,
+    /// peer address of the replica
+    #[options(free)]
+    pub address: Option<String>,
+}
+
+/// Options of `members remove`.
+#[derive(Debug, Default, Options)]
+pub struct RemoveMember {
+    /// print this help
+    pub help: bool,
+    /// name of the replica
+    #[options(free)]
+    pub name: Option<String>,
+    /// id of the replica; needed when two replicas have had the name
+    #[options(no_short, meta = "ID")]
+    pub id: Option<String>,
+}
+
+/// Options of `dev`.
+#[derive(Debug, Default, Options)]
+pub struct Dev {
+    /// print this help
+    pub help: bool,
+    /// make a few calls and edits, check the answers, and stop
+    #[options(no_short)]
+    pub check: bool,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! anvilbeam distributes the configuration of a service mesh and routes its calls.
 
+pub mod cli;
 pub mod error;
 pub mod events;
 pub mod lists;
@@ -7,6 +8,7 @@
 pub mod metrics;
 pub mod model;
 pub mod operator_api;
+pub mod options;
 pub mod settings;
 pub mod wire;
 pub mod yaml;
