--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -17,11 +17,7 @@
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::Instant,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Instant},
     tokio::time::timeout_at,
 };
 
