--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,147 @@
+//! Routes of our HTTP interfaces for people and for the platform, on gotham.
+
+use {
+    crate::body::{self, Body},
+    bytes::Bytes,
+    gotham::{
+        anyhow,
+        handler::{Handler, HandlerFuture, NewHandler},
+        helpers::http::Body as GothamBody,
+        state::{FromState, State},
+    },
+    http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header},
+    serde::Serialize,
+    std::{fmt, panic::AssertUnwindSafe, pin::Pin, sync::Arc},
+};
+
+/// Largest body of a request in bytes; both lists at their limits fit.
+pub const MAX_REQUEST: usize = 8 * 1024 * 1024;
+
+/// One request with its whole body.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Ask {
+    /// Value of a query parameter; `%` sequences stay as they are, since names hold none.
+    ///
+    /// ```
+    /// use anvilbeam::api::Ask;
+    /// let ask = Ask {
+    ///     method: http::Method::GET,
+    ///     uri: "/v1/explain?plan=clerks&service=roll".parse().unwrap(),
+    ///     headers: http::HeaderMap::new(),
+    ///     body: bytes::Bytes::new(),
+    /// };
+    /// assert_eq!(ask.query("service"), Some("roll"));
+    /// ```
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.uri.query()?.split('&');
+        pairs
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// Future of a response.
+pub type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// One route: shared state and the function that answers.
+pub struct Route<T> {
+    shared: AssertUnwindSafe<Arc<T>>,
+    answer: fn(Arc<T>, Ask) -> Answer,
+}
+
+impl<T> Route<T> {
+    /// A route that answers with `answer`.
+    ///
+    /// The state counts as safe across a panic: its locks are taken for whole updates only.
+    pub const fn new(shared: Arc<T>, answer: fn(Arc<T>, Ask) -> Answer) -> Self {
+        Self {
+            shared: AssertUnwindSafe(shared),
+            answer,
+        }
+    }
+}
+
+impl<T> Clone for Route<T> {
+    fn clone(&self) -> Self {
+        Self::new(Arc::clone(&self.shared), self.answer)
+    }
+}
+
+impl<T> fmt::Debug for Route<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Route").finish_non_exhaustive()
+    }
+}
+
+impl<T: Send + Sync + 'static> NewHandler for Route<T> {
+    type Instance = Self;
+
+    fn new_handler(&self) -> anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl<T: Send + Sync + 'static> Handler for Route<T> {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        Box::pin(async move {
+            let response = match read(&mut state).await {
+                Ok(ask) => (self.answer)(Arc::clone(&self.shared), ask).await,
+                Err(e) => text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
+            };
+            let response = response.map(|body| {
+                let body = http_body_util::BodyExt::map_err(body, std::io::Error::other);
+                GothamBody::new(body)
+            });
+            Ok((state, response))
+        })
+    }
+}
+
+async fn read(state: &mut State) -> Result<Ask, body::BoxError> {
+    let incoming = body::boxed(GothamBody::take_from(state));
+    Ok(Ask {
+        method: Method::borrow_from(state).clone(),
+        uri: Uri::borrow_from(state).clone(),
+        headers: HeaderMap::borrow_from(state).clone(),
+        body: body::collect(incoming, MAX_REQUEST).await?,
+    })
+}
+
+/// A response with a JSON body.
+pub fn json<A: Serialize>(status: StatusCode, answer: &A) -> Response<Body> {
+    let bytes = match serde_json::to_vec(answer) {
+        Ok(bytes) => bytes,
+        Err(e) => return text(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    };
+    respond(status, "application/json", bytes)
+}
+
+/// A response with a plain text body.
+pub fn text(status: StatusCode, answer: &str) -> Response<Body> {
+    respond(
+        status,
+        "text/plain; charset=utf-8",
+        answer.as_bytes().to_vec(),
+    )
+}
+
+fn respond(status: StatusCode, kind: &'static str, bytes: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(body::full(bytes));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/src/control/claims.rs
@@ -0,0 +1,77 @@
+//! A replica of a claims group: idempotency keys of one home region.
+
+use {
+    super::replication,
+    crate::{
+        body::Body,
+        claim_client::{CLAIM_PATH, ClaimAnswer},
+        claims::{self, Claims, Command},
+        error::Result,
+        peer::{self, Client},
+        replica::{self, Handle, Machine, Options, ProposeError},
+        wire,
+    },
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    std::{
+        thread::JoinHandle,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Starts the replica on its data folder.
+pub(super) fn start(
+    options: Options,
+    client: Client,
+) -> Result<(Handle<Claims>, JoinHandle<Result<()>>)> {
+    let machine = Machine {
+        state: Claims::default(),
+        apply: claims::apply,
+        snapshot: claims::snapshot,
+        restore: claims::restore,
+    };
+    replica::start(options, machine, replication::sender(client))
+}
+
+/// Answers one request on the peer port.
+pub(super) async fn handle(handle: &Handle<Claims>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        super::RAFT_PATH => replication::receive(handle, req).await,
+        CLAIM_PATH => match peer::read_message::<Command>(req).await {
+            Ok(command) => peer::message_response(&decide(handle, command).await),
+            Err(e) => {
+                log::warn!("claim refused: {e}");
+                peer::status(StatusCode::BAD_REQUEST)
+            }
+        },
+        _ => peer::status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn decide(handle: &Handle<Claims>, mut command: Command) -> ClaimAnswer {
+    command.stamp(clock_ms());
+    let Ok(buf) = wire::encode(&command) else {
+        return ClaimAnswer::Lost;
+    };
+    match handle.propose(buf).await {
+        Ok(reply) => match wire::decode(&reply) {
+            Ok(reply) => ClaimAnswer::Reply(reply),
+            Err(e) => {
+                log::error!("claims reply: {e}");
+                ClaimAnswer::Lost
+            }
+        },
+        Err(ProposeError::NotLeader(leader)) => {
+            ClaimAnswer::NotLeader(leader.map(|leader| leader.address))
+        }
+        Err(ProposeError::Stopped | ProposeError::Refused(_)) => ClaimAnswer::NotLeader(None),
+        Err(ProposeError::Lost) => ClaimAnswer::Lost,
+    }
+}
+
+/// Clock of this VM in milliseconds since 1970.
+pub(super) fn clock_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/src/control/operators.rs
@@ -0,0 +1,474 @@
+//! The operators' HTTP interface.
+
+use {
+    super::{claims::clock_ms, config::ConfigReplica, identity},
+    crate::{
+        api::{self, Answer, Ask, Route},
+        body::Body,
+        call,
+        edits::{EditCommand, EditId, EditReply},
+        events::Event,
+        lists::{self, Announced, Lists, Problem},
+        log_event,
+        model::{Config, Digest, Version},
+        operator_api::{
+            ConflictAnswer, EDITS, EditAnswer, EditRequest, ErrorAnswer, LISTS, ListsAnswer,
+            MEMBERS, Member, MemberAction, MemberRequest, MembersAnswer, ProblemsAnswer, STATUS,
+            StatusAnswer, VALIDATE, ValidateAnswer,
+        },
+        raft::{self, MemberChange, MemberRole, ReplicaId},
+        replica::ProposeError,
+        versions::Change,
+        wire,
+    },
+    gotham::{
+        prelude::*,
+        router::{Router, build_simple_router},
+    },
+    http::{Response, StatusCode},
+    serde::Serialize,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Time in which a new member must catch up to become a voter.
+const PROMOTE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause between two tries to promote.
+const PROMOTE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a request is not done, as an answer.
+struct Failure {
+    status: StatusCode,
+    answer: serde_json::Value,
+}
+
+impl Failure {
+    fn new<A: Serialize>(status: StatusCode, answer: &A) -> Self {
+        Self {
+            status,
+            answer: serde_json::to_value(answer).unwrap_or_default(),
+        }
+    }
+
+    fn response(&self) -> Response<Body> {
+        api::json(self.status, &self.answer)
+    }
+}
+
+/// Routes of the operator port.
+pub(super) fn router(replica: &Arc<ConfigReplica>) -> Router {
+    let to = |answer| Route::new(Arc::clone(replica), answer);
+    build_simple_router(|route| {
+        route
+            .get(LISTS)
+            .to_new_handler(to(|r, ask| guarded(r, ask, get_lists)));
+        route
+            .post(EDITS)
+            .to_new_handler(to(|r, ask| guarded(r, ask, post_edit)));
+        route
+            .post(VALIDATE)
+            .to_new_handler(to(|r, ask| guarded(r, ask, post_validate)));
+        route
+            .get(STATUS)
+            .to_new_handler(to(|r, ask| guarded(r, ask, get_status)));
+        route
+            .get(MEMBERS)
+            .to_new_handler(to(|r, ask| guarded(r, ask, get_members)));
+        route
+            .post(MEMBERS)
+            .to_new_handler(to(|r, ask| guarded(r, ask, post_members)));
+    })
+}
+
+/// Checks the operator's token before the request is answered.
+fn guarded<F>(
+    replica: Arc<ConfigReplica>,
+    ask: Ask,
+    answer: fn(Arc<ConfigReplica>, Ask) -> F,
+) -> Answer
+where
+    F: Future<Output = Result<Response<Body>, Failure>> + Send + 'static,
+{
+    Box::pin(async move {
+        let token = call::bearer(&ask.headers).unwrap_or_default();
+        let Some(operator) = replica.cfg.operator(token) else {
+            log_event!(Event::OperatorRefused, path = ask.uri.path());
+            return error(
+                StatusCode::UNAUTHORIZED,
+                "unauthorized",
+                "no operator has this token",
+            )
+            .response();
+        };
+        log::debug!("operator {} asks for {}", operator.name, ask.uri);
+        answer(Arc::clone(&replica), ask)
+            .await
+            .unwrap_or_else(|e| e.response())
+    })
+}
+
+fn error(status: StatusCode, code: &str, reason: impl Into<String>) -> Failure {
+    let answer = ErrorAnswer {
+        error: code.to_owned(),
+        reason: reason.into(),
+        leader: None,
+    };
+    Failure::new(status, &answer)
+}
+
+/// An answer that sends the operator to the leader.
+async fn not_done(replica: &ConfigReplica, e: ProposeError) -> Failure {
+    let ProposeError::NotLeader(leader) = e else {
+        return error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unavailable",
+            e.to_string(),
+        );
+    };
+    let operator_address = match &leader {
+        Some(leader) => identity::ask(&replica.client, leader.address)
+            .await
+            .ok()
+            .and_then(|identity| identity.operator_address),
+        None => None,
+    };
+    let answer = ErrorAnswer {
+        error: "not-leader".to_owned(),
+        reason: match leader {
+            Some(leader) => format!("replica {} leads", leader.name),
+            None => "no replica leads; a majority of the config group is needed".to_owned(),
+        },
+        leader: operator_address.map(|address| address.to_string()),
+    };
+    Failure::new(StatusCode::SERVICE_UNAVAILABLE, &answer)
+}
+
+async fn current(replica: &ConfigReplica) -> Result<Arc<Config>, Failure> {
+    match replica
+        .handle
+        .read(|state| Arc::clone(state.store().config()))
+        .await
+    {
+        Ok(cfg) => Ok(cfg),
+        Err(e) => Err(not_done(replica, e).await),
+    }
+}
+
+async fn get_lists(replica: Arc<ConfigReplica>, _ask: Ask) -> Result<Response<Body>, Failure> {
+    let cfg = current(&replica).await?;
+    let lists = Lists::from_config(&cfg);
+    let answer = ListsAnswer {
+        version: cfg.version.0,
+        plans: lists::render_plans(&lists),
+        grants: lists::render_grants(&lists),
+    };
+    Ok(api::json(StatusCode::OK, &answer))
+}
+
+fn read_edit(ask: &Ask) -> Result<EditRequest, Failure> {
+    serde_json::from_slice(&ask.body)
+        .map_err(|e| error(StatusCode::BAD_REQUEST, "bad-request", format!("edit: {e}")))
+}
+
+/// Checks the lists of an edit; a list that it leaves out stays as it is.
+fn check(cfg: &Config, edit: &EditRequest) -> Result<Lists, Vec<Problem>> {
+    let kept = Lists::from_config(cfg);
+    let plans = edit
+        .plans
+        .clone()
+        .unwrap_or_else(|| lists::render_plans(&kept));
+    let grants = edit
+        .grants
+        .clone()
+        .unwrap_or_else(|| lists::render_grants(&kept));
+    lists::check(&plans, &grants)
+}
+
+fn announced(replica: &ConfigReplica) -> Announced {
+    let mut announced = Announced::new();
+    for endpoint in replica.hub.content().directory.iter() {
+        let servers = announced.entry(endpoint.service.clone()).or_default();
+        servers.insert(endpoint.server.clone());
+    }
+    announced
+}
+
+async fn post_validate(replica: Arc<ConfigReplica>, ask: Ask) -> Result<Response<Body>, Failure> {
+    let edit = read_edit(&ask)?;
+    let cfg = current(&replica).await?;
+    let answer = match check(&cfg, &edit) {
+        Ok(lists) => ValidateAnswer {
+            problems: Vec::new(),
+            warnings: lists::warnings(&lists, &announced(&replica)),
+        },
+        Err(problems) => ValidateAnswer {
+            problems,
+            warnings: Vec::new(),
+        },
+    };
+    Ok(api::json(StatusCode::OK, &answer))
+}
+
+async fn post_edit(replica: Arc<ConfigReplica>, ask: Ask) -> Result<Response<Body>, Failure> {
+    let edit = read_edit(&ask)?;
+    let id = edit_id(&edit.edit_id);
+    let found = replica
+        .handle
+        .read(move |state| (state.accepted(id), Arc::clone(state.store().config())))
+        .await;
+    let (accepted, cfg) = match found {
+        Ok(found) => found,
+        Err(e) => return Err(not_done(&replica, e).await),
+    };
+    if let Some(accepted) = accepted {
+        return Ok(edit_answer(&edit, accepted.version, true, Vec::new()));
+    }
+    let base = Version(edit.base_version);
+    if base != cfg.version {
+        return Ok(conflict(&edit, cfg.version));
+    }
+    let lists = check(&cfg, &edit).map_err(|problems| invalid(&edit, problems))?;
+    let warnings = lists::warnings(&lists, &announced(&replica));
+    let change = change_between(&cfg, &lists);
+    if change.is_empty() {
+        return Ok(edit_answer(&edit, cfg.version, false, warnings));
+    }
+    let command = EditCommand {
+        edit_id: id,
+        base,
+        change,
+        time: clock_ms(),
+    };
+    match propose(&replica, &command).await? {
+        EditReply::Accepted { version } => Ok(edit_answer(&edit, version, false, warnings)),
+        EditReply::Repeated { version } => Ok(edit_answer(&edit, version, true, warnings)),
+        EditReply::Conflict { current } => Ok(conflict(&edit, current)),
+        EditReply::Invalid { reason } => {
+            Err(error(StatusCode::UNPROCESSABLE_ENTITY, "invalid", reason))
+        }
+    }
+}
+
+async fn propose(replica: &ConfigReplica, command: &EditCommand) -> Result<EditReply, Failure> {
+    let too_large =
+        |e: crate::error::Error| error(StatusCode::UNPROCESSABLE_ENTITY, "invalid", e.to_string());
+    let buf = wire::encode(command).map_err(too_large)?;
+    match replica.handle.propose(buf).await {
+        Ok(reply) => wire::decode(&reply).map_err(too_large),
+        Err(ProposeError::Lost) => Err(error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            "the leader lost contact before the edit was decided; send it again with the same edit id",
+        )),
+        Err(e) => Err(not_done(replica, e).await),
+    }
+}
+
+/// Operators name an edit with any text.
+fn edit_id(text: &str) -> EditId {
+    let Digest(bytes) = Digest::of(text.as_bytes());
+    let (head, _) = bytes.split_at(16);
+    EditId(head.iter().fold(0, |id, byte| id << 8 | u128::from(*byte)))
+}
+
+fn edit_answer(
+    edit: &EditRequest,
+    version: Version,
+    repeated: bool,
+    warnings: Vec<Problem>,
+) -> Response<Body> {
+    let event = if repeated {
+        Event::EditRepeated
+    } else {
+        Event::VersionAccepted
+    };
+    log_event!(event, version = version, edit = edit.edit_id);
+    let answer = EditAnswer {
+        version: version.0,
+        repeated,
+        warnings,
+    };
+    api::json(StatusCode::OK, &answer)
+}
+
+fn conflict(edit: &EditRequest, current: Version) -> Response<Body> {
+    log_event!(
+        Event::EditConflict,
+        base = edit.base_version,
+        current = current,
+        edit = edit.edit_id
+    );
+    let answer = ConflictAnswer {
+        error: "conflict".to_owned(),
+        current_version: current.0,
+    };
+    api::json(StatusCode::CONFLICT, &answer)
+}
+
+fn invalid(edit: &EditRequest, problems: Vec<Problem>) -> Failure {
+    log_event!(
+        Event::EditRefused,
+        edit = edit.edit_id,
+        problems = problems.len()
+    );
+    let answer = ProblemsAnswer {
+        error: "invalid".to_owned(),
+        problems,
+    };
+    Failure::new(StatusCode::UNPROCESSABLE_ENTITY, &answer)
+}
+
+fn change_between(cfg: &Config, lists: &Lists) -> Change {
+    let plans = lists.plans.values();
+    let grants = lists.grants.values();
+    Change {
+        plans: plans
+            .filter(|plan| cfg.plans.get(&plan.name) != Some(*plan))
+            .cloned()
+            .collect(),
+        removed_plans: missing(cfg.plans.keys(), |name| lists.plans.contains_key(name)),
+        grants: grants
+            .filter(|grant| cfg.grants.get(&grant.key()) != Some(*grant))
+            .cloned()
+            .collect(),
+        removed_grants: missing(cfg.grants.keys(), |key| lists.grants.contains_key(key)),
+    }
+}
+
+fn missing<'a, K: Clone + 'a>(
+    keys: impl Iterator<Item = &'a K>,
+    kept: impl Fn(&K) -> bool,
+) -> Vec<K> {
+    keys.filter(|key| !kept(key)).cloned().collect()
+}
+
+async fn get_status(replica: Arc<ConfigReplica>, _ask: Ask) -> Result<Response<Body>, Failure> {
+    let cfg = current(&replica).await?;
+    let answer = StatusAnswer {
+        version: cfg.version.0,
+        leader: leader(&replica),
+        members: members(&replica),
+        data_centres: replica.reports().status(cfg.version),
+    };
+    Ok(api::json(StatusCode::OK, &answer))
+}
+
+fn leader(replica: &ConfigReplica) -> Option<String> {
+    replica.handle.status().leader.map(|leader| leader.name)
+}
+
+fn members(replica: &ConfigReplica) -> Vec<Member> {
+    let members = replica.handle.members();
+    let members = members.into_iter().map(|member| Member {
+        name: member.name,
+        address: member.address.to_string(),
+        id: member.id.0,
+        voter: member.role == MemberRole::Voter,
+    });
+    members.collect()
+}
+
+async fn get_members(replica: Arc<ConfigReplica>, _ask: Ask) -> Result<Response<Body>, Failure> {
+    current(&replica).await?;
+    Ok(members_answer(&replica))
+}
+
+fn members_answer(replica: &ConfigReplica) -> Response<Body> {
+    let answer = MembersAnswer {
+        leader: leader(replica),
+        members: members(replica),
+    };
+    api::json(StatusCode::OK, &answer)
+}
+
+async fn post_members(replica: Arc<ConfigReplica>, ask: Ask) -> Result<Response<Body>, Failure> {
+    let wanted: MemberRequest = serde_json::from_slice(&ask.body).map_err(|e| {
+        error(
+            StatusCode::BAD_REQUEST,
+            "bad-request",
+            format!("member: {e}"),
+        )
+    })?;
+    current(&replica).await?;
+    match wanted.action {
+        MemberAction::Add => add_member(&replica, &wanted).await?,
+        MemberAction::Remove => remove_member(&replica, &wanted).await?,
+    }
+    Ok(members_answer(&replica))
+}
+
+async fn add_member(replica: &ConfigReplica, wanted: &MemberRequest) -> Result<(), Failure> {
+    let bad = |reason: String| error(StatusCode::BAD_REQUEST, "bad-request", reason);
+    let text = wanted.address.as_deref().unwrap_or_default();
+    let address: SocketAddr = text
+        .parse()
+        .map_err(|e| bad(format!("address {text:?} of {}: {e}", wanted.name)))?;
+    let identity = identity::ask(&replica.client, address)
+        .await
+        .map_err(|e| bad(e.to_string()))?;
+    if identity.name != wanted.name {
+        return Err(bad(format!(
+            "{address} is replica {:?}, not {:?}",
+            identity.name, wanted.name
+        )));
+    }
+    let member = raft::Member {
+        id: identity.id,
+        name: identity.name,
+        address,
+        role: MemberRole::Learner,
+    };
+    change_members(replica, MemberChange::Add(member)).await?;
+    promote(replica, identity.id).await
+}
+
+/// Makes a learner a voter as soon as it has caught up.
+async fn promote(replica: &ConfigReplica, id: ReplicaId) -> Result<(), Failure> {
+    let deadline = Instant::now() + PROMOTE_TIMEOUT;
+    loop {
+        match replica
+            .handle
+            .change_members(MemberChange::Promote(id))
+            .await
+        {
+            Ok(()) => {
+                log_event!(Event::MemberChanged, id = id, change = "promoted");
+                return Ok(());
+            }
+            Err(ProposeError::Refused(_)) if Instant::now() < deadline => {
+                sleep(PROMOTE_PAUSE).await;
+            }
+            Err(e) => return Err(not_done(replica, e).await),
+        }
+    }
+}
+
+async fn remove_member(replica: &ConfigReplica, wanted: &MemberRequest) -> Result<(), Failure> {
+    let members = replica.handle.members();
+    let found: Vec<ReplicaId> = members
+        .iter()
+        .filter(|member| member.name == wanted.name && wanted.id.is_none_or(|id| id == member.id.0))
+        .map(|member| member.id)
+        .collect();
+    let [id] = found[..] else {
+        let reason = format!(
+            "{} members are named {:?}; name one by its id",
+            found.len(),
+            wanted.name
+        );
+        return Err(error(StatusCode::BAD_REQUEST, "bad-request", reason));
+    };
+    change_members(replica, MemberChange::Remove(id)).await
+}
+
+async fn change_members(replica: &ConfigReplica, change: MemberChange) -> Result<(), Failure> {
+    log_event!(Event::MemberChanged, change = format!("{change:?}"));
+    match replica.handle.change_members(change).await {
+        Ok(()) => Ok(()),
+        Err(e) => Err(not_done(replica, e).await),
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,7 +3,205 @@
 mod attempt;
 mod entry;
 pub mod event;
+mod local;
 mod order;
 mod owner;
 pub mod shared;
 pub mod state;
+mod uplink;
+
+use {
+    self::{event::Event, shared::Shared, uplink::Uplink},
+    crate::{
+        body::Body,
+        error::{Error, Result},
+        events::Event as LogEvent,
+        hub::{Content, Hub, SUBSCRIBE_PATH, Subscribe},
+        log_event, peer,
+        serve::{self, Server},
+        settings,
+    },
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::TcpListener,
+        task::JoinHandle,
+        time::{MissedTickBehavior, interval, sleep},
+    },
+};
+
+/// Interval at which the reducer learns that time passed.
+const TICK: Duration = Duration::from_millis(100);
+/// Time in which all other daemons learn that this one is leaving.
+const DRAIN_NOTICE: Duration = Duration::from_secs(3);
+/// Time that a shutdown gives to calls in flight; uploads may take long.
+const SHUTDOWN_TIME: Duration = Duration::from_mins(10);
+
+/// Sockets of a daemon, bound before it starts.
+#[derive(Debug)]
+pub struct Listeners {
+    /// Caller port.
+    pub callers: TcpListener,
+    /// Local port.
+    pub local: TcpListener,
+    /// Peer port.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// [`Error::Bind`] with the address.
+    pub async fn bind(cfg: &settings::Daemon) -> Result<Self> {
+        Ok(Self {
+            callers: serve::bind(cfg.caller_address).await?,
+            local: serve::bind(cfg.local_address).await?,
+            peer: serve::bind(cfg.peer_address).await?,
+        })
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    shared: Arc<Shared>,
+    uplink: Arc<Uplink>,
+    callers: Server,
+    local: Server,
+    peer: Server,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// The settings hold a value that cannot be used.
+    pub fn start(cfg: settings::Daemon, listeners: Listeners) -> Result<Self> {
+        let peer_address = listeners.peer.local_addr().map_err(|source| Error::Bind {
+            address: cfg.peer_address,
+            source,
+        })?;
+        let advertised = cfg.advertise.unwrap_or(peer_address);
+        let token = cfg.token().to_owned();
+        let shared = Shared::new(cfg, advertised)?;
+        let hub = Hub::new(Content::default());
+        let uplink = Uplink::new(Arc::clone(&shared), Arc::clone(&hub));
+        let callers = serve_callers(&shared, listeners.callers);
+        let local = serve_local(&shared, listeners.local);
+        let peer = serve_peers(&shared, &hub, listeners.peer, &token)?;
+        log_event!(
+            LogEvent::Started,
+            program = "anvilbeam-daemon",
+            name = shared.cfg.name,
+            caller_address = callers.address(),
+            local_address = local.address(),
+            peer_address = peer.address(),
+        );
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&uplink).follow()),
+            tokio::spawn(Arc::clone(&uplink).report_forever()),
+            tokio::spawn(tick_forever(Arc::clone(&shared))),
+        ];
+        Ok(Self {
+            shared,
+            uplink,
+            callers,
+            local,
+            peer,
+            tasks,
+        })
+    }
+
+    /// Address for callers.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Address for the backend server.
+    pub const fn local_address(&self) -> SocketAddr {
+        self.local.address()
+    }
+
+    /// Address for other processes.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer.address()
+    }
+
+    /// Stops gracefully: others stop sending calls first, then the calls in flight end.
+    /// Returns whether all calls had their answer.
+    pub async fn stop(self) -> bool {
+        log_event!(LogEvent::Stopping, name = self.shared.cfg.name);
+        self.shared.dispatch(None, Event::Drain);
+        self.uplink.report().await;
+        sleep(DRAIN_NOTICE).await;
+        let deadline = Instant::now() + SHUTDOWN_TIME;
+        let callers = self.callers.shutdown(deadline).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        let peer = self.peer.shutdown(deadline).await;
+        self.local.shutdown(deadline).await;
+        log_event!(LogEvent::Stopped, name = self.shared.cfg.name);
+        callers && peer
+    }
+}
+
+async fn tick_forever(shared: Arc<Shared>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shared.dispatch(None, Event::Tick);
+    }
+}
+
+fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Server {
+    let shared = Arc::clone(shared);
+    serve::serve(listener, move |req, _| {
+        entry::handle(Arc::clone(&shared), req)
+    })
+}
+
+fn serve_local(shared: &Arc<Shared>, listener: TcpListener) -> Server {
+    let router = local::router(shared);
+    serve::serve(listener, move |req, peer| {
+        serve::gotham_answer(router.clone(), req, peer)
+    })
+}
+
+fn serve_peers(
+    shared: &Arc<Shared>,
+    hub: &Arc<Hub>,
+    listener: TcpListener,
+    token: &str,
+) -> Result<Server> {
+    let (shared, hub) = (Arc::clone(shared), Arc::clone(hub));
+    peer::serve_peers(listener, token, move |req| {
+        let (shared, hub) = (Arc::clone(&shared), Arc::clone(&hub));
+        async move { answer_peer(shared, hub, req).await }
+    })
+}
+
+async fn answer_peer(shared: Arc<Shared>, hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
+    // Proxied calls keep their own path, so a header tells them from messages.
+    if req.headers().contains_key(crate::call::PLAN) {
+        return owner::handle_peer(shared, req).await;
+    }
+    match req.uri().path() {
+        SUBSCRIBE_PATH => match peer::read_message::<Subscribe>(req).await {
+            Ok(subscribe) => hub.open(subscribe),
+            Err(e) => {
+                log::warn!("request of a peer refused: {e}");
+                peer::status(StatusCode::BAD_REQUEST)
+            }
+        },
+        _ => peer::status(StatusCode::NOT_FOUND),
+    }
+}
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -138,7 +138,7 @@
                     waiting.end();
                     (call, choice) = (next_call, next);
                 }
-                effect => return self.give_up(&call, *failed, effect),
+                effect => return self.give_up(&call, *failed, effect.as_ref()),
             }
         }
     }
@@ -194,7 +194,7 @@
         self.shared.dispatch(Some(self.id), event)
     }
 
-    fn give_up(&self, call: &Call, failed: Failed, effect: Option<Effect>) -> Response<Body> {
+    fn give_up(&self, call: &Call, failed: Failed, effect: Option<&Effect>) -> Response<Body> {
         let Failed {
             cause,
             mut response,
@@ -203,7 +203,7 @@
         let now = Instant::now();
         let refusal = Refusal::read(response.headers(), now);
         let reason = match effect {
-            Some(Effect::GiveUp { reason, .. }) => reason,
+            Some(Effect::GiveUp { reason, .. }) => *reason,
             _ => retry::GiveUp::Cause,
         };
         log_event!(
@@ -235,7 +235,7 @@
         let response = if choice.endpoint.daemon == self.shared.cfg.name {
             owner::run(Arc::clone(self.shared), call.clone(), req).await
         } else {
-            match self.send_to_peer(call, choice, req).await {
+            match send_to_peer(self.shared, call, choice, req).await {
                 Ok(response) => response,
                 Err(failure) => return failure,
             }
@@ -267,35 +267,35 @@
         }
         req
     }
+}
 
-    async fn send_to_peer(
-        &self,
-        call: &Call,
-        choice: &Choice,
-        mut req: Request<Body>,
-    ) -> Result<Response<Body>, Sent> {
-        let address = choice.endpoint.address;
-        call.write(req.headers_mut(), Instant::now());
-        let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
-        let uri = format!("http://{address}{path}").parse();
-        *req.uri_mut() = uri.map_err(|e| {
-            let refusal = Refusal::not_run(Reason::BadRequest, format!("path: {e}"));
-            failure(Cause::NoGrant, &refusal, refusal.response(Instant::now()))
-        })?;
-        let deadline = if call.streamed {
-            Instant::now() + call::MAX_TIMEOUT
-        } else {
-            call.deadline
-        };
-        let sent = self.shared.client.send(address, req, deadline).await;
-        sent.map(|response| {
-            response.map(|incoming| {
-                let watched = Watched::new(body::boxed(incoming), Progress::new(), |_| ());
-                body::boxed(watched)
-            })
+async fn send_to_peer(
+    shared: &Shared,
+    call: &Call,
+    choice: &Choice,
+    mut req: Request<Body>,
+) -> Result<Response<Body>, Sent> {
+    let address = choice.endpoint.address;
+    call.write(req.headers_mut(), Instant::now());
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    let uri = format!("http://{address}{path}").parse();
+    *req.uri_mut() = uri.map_err(|e| {
+        let refusal = Refusal::not_run(Reason::BadRequest, format!("path: {e}"));
+        failure(Cause::NoGrant, &refusal, refusal.response(Instant::now()))
+    })?;
+    let deadline = if call.streamed {
+        Instant::now() + call::MAX_TIMEOUT
+    } else {
+        call.deadline
+    };
+    let sent = shared.client.send(address, req, deadline).await;
+    sent.map(|response| {
+        response.map(|incoming| {
+            let watched = Watched::new(body::boxed(incoming), Progress::new(), |_| ());
+            body::boxed(watched)
         })
-        .map_err(|e| peer_failure(&e, choice))
-    }
+    })
+    .map_err(|e| peer_failure(&e, choice))
 }
 
 fn failure(cause: Cause, refusal: &Refusal, response: Response<Body>) -> Sent {
--- /dev/null
+++ b/src/daemon/local.rs
@@ -0,0 +1,205 @@
+//! The local port: announcements of the backend server, health, metrics and explanations.
+
+use {
+    super::{
+        event::Event,
+        shared::Shared,
+        state::{ANNOUNCE_LEASE, State},
+    },
+    crate::{
+        announce::{ANNOUNCE_PATH, Announced, Announcement, MAX_SLOTS},
+        api::{self, Answer, Ask, Route},
+        body::Body,
+        events::Event as LogEvent,
+        lists, log_event,
+        model::{Endpoint, PlanName, Rank, ServerState, ServiceName},
+        operator_api::{Candidate, EXPLAIN, ExplainAnswer, ExplainGrant},
+        routes::Snapshot,
+    },
+    gotham::{
+        prelude::*,
+        router::{Router, build_simple_router},
+    },
+    http::{Response, StatusCode},
+    std::{sync::Arc, time::Instant},
+    strum::IntoEnumIterator,
+};
+
+/// Routes of the local port.
+pub(super) fn router(shared: &Arc<Shared>) -> Router {
+    let to = |answer| Route::new(Arc::clone(shared), answer);
+    build_simple_router(|route| {
+        route.post(ANNOUNCE_PATH).to_new_handler(to(announce));
+        route.get("/metrics").to_new_handler(to(metrics));
+        route.get("/healthz").to_new_handler(to(health));
+        route.get("/readyz").to_new_handler(to(ready));
+        route.get(EXPLAIN).to_new_handler(to(explain));
+    })
+}
+
+fn announce(shared: Arc<Shared>, ask: Ask) -> Answer {
+    Box::pin(async move {
+        let announcement = match read_announcement(&ask) {
+            Ok(announcement) => announcement,
+            Err(reason) => return api::text(StatusCode::BAD_REQUEST, &reason),
+        };
+        let before = shared
+            .state()
+            .server()
+            .map(|server| server.announcement.clone());
+        if before.as_ref() != Some(&announcement) {
+            log_announcement(&announcement);
+        }
+        shared.dispatch(None, Event::Announced(&announcement));
+        let answer = Announced {
+            lease_ms: ANNOUNCE_LEASE.as_millis() as u64,
+            running: shared.state().admission().running(),
+        };
+        api::json(StatusCode::OK, &answer)
+    })
+}
+
+fn read_announcement(ask: &Ask) -> Result<Announcement, String> {
+    let announcement: Announcement =
+        serde_json::from_slice(&ask.body).map_err(|e| format!("announcement: {e}"))?;
+    for (field, name) in [
+        ("server", announcement.server.as_str()),
+        ("service", announcement.service.as_str()),
+    ] {
+        lists::check_name(name).map_err(|reason| format!("{field} {name:?}: {reason}"))?;
+    }
+    if announcement.slots == 0 || announcement.slots > MAX_SLOTS {
+        return Err(format!(
+            "slots must be 1 to {MAX_SLOTS}, not {}",
+            announcement.slots
+        ));
+    }
+    Ok(announcement)
+}
+
+fn log_announcement(announcement: &Announcement) {
+    let event = match announcement.state {
+        ServerState::Serving => LogEvent::EndpointAnnounced,
+        ServerState::Draining => LogEvent::EndpointDraining,
+    };
+    log_event!(
+        event,
+        server = announcement.server,
+        service = announcement.service,
+        address = announcement.address,
+        slots = announcement.slots,
+        incarnation = announcement.incarnation,
+    );
+}
+
+fn metrics(shared: Arc<Shared>, _ask: Ask) -> Answer {
+    Box::pin(async move {
+        let state = shared.state();
+        let admission = state.admission();
+        for rank in Rank::iter() {
+            let waiting = admission.waiting_of(rank);
+            shared.metrics.queue_length(rank, waiting);
+        }
+        let limit = admission.limit(Instant::now());
+        shared.metrics.slots(admission.running(), limit);
+        drop(state);
+        api::text(StatusCode::OK, &shared.metrics.text())
+    })
+}
+
+fn health(_shared: Arc<Shared>, _ask: Ask) -> Answer {
+    Box::pin(async { api::text(StatusCode::OK, "ok\n") })
+}
+
+fn ready(shared: Arc<Shared>, _ask: Ask) -> Answer {
+    Box::pin(async move {
+        let state = shared.state();
+        match (state.snapshot(), state.is_draining()) {
+            (Some(snapshot), false) => {
+                let version = snapshot.config().version;
+                api::text(StatusCode::OK, &format!("version {version}\n"))
+            }
+            (_, true) => api::text(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+            (None, false) => api::text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration in force\n",
+            ),
+        }
+    })
+}
+
+fn explain(shared: Arc<Shared>, ask: Ask) -> Answer {
+    Box::pin(async move { explain_now(&shared, &ask) })
+}
+
+fn explain_now(shared: &Shared, ask: &Ask) -> Response<Body> {
+    let (Some(plan), Some(service)) = (ask.query("plan"), ask.query("service")) else {
+        return api::text(StatusCode::BAD_REQUEST, "plan and service are needed\n");
+    };
+    let state = shared.state();
+    let Some(snapshot) = state.snapshot() else {
+        return api::text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration in force\n",
+        );
+    };
+    let answer = explanation(&state, snapshot, &plan.into(), &service.into());
+    api::json(StatusCode::OK, &answer)
+}
+
+fn explanation(
+    state: &State,
+    snapshot: &Snapshot,
+    plan: &PlanName,
+    service: &ServiceName,
+) -> ExplainAnswer {
+    let grant = snapshot
+        .config()
+        .grants
+        .get(&crate::model::GrantKey {
+            plan: plan.clone(),
+            service: service.clone(),
+        })
+        .map(|grant| ExplainGrant {
+            servers: grant.servers.iter().map(ToString::to_string).collect(),
+            capacity: grant.capacity,
+            rank: grant.rank.to_string(),
+        });
+    let route = snapshot.route(plan, service);
+    let (decision, reason) = match &route {
+        Ok(route) => {
+            let servers = route.candidates.all().len();
+            ("routed", format!("{servers} backend servers take calls"))
+        }
+        Err(e) => ("refused", e.to_string()),
+    };
+    let allowed = |endpoint: &Endpoint| {
+        route.as_ref().is_ok_and(|route| {
+            let mut all = route.candidates.all().iter();
+            all.any(|candidate| candidate.server == endpoint.server)
+        })
+    };
+    let candidates = snapshot.endpoints(service).iter().map(|endpoint| {
+        let ejected = state.balancer().ejected_until(&endpoint.server);
+        let usable = allowed(endpoint) && ejected.is_none();
+        let reason = match (allowed(endpoint), endpoint.state, ejected) {
+            (_, ServerState::Draining, _) => "draining",
+            (false, ..) => "not in the grant",
+            (true, _, Some(_)) => "ejected for its outcomes",
+            (true, _, None) => "takes calls",
+        };
+        Candidate {
+            server: endpoint.server.to_string(),
+            data_centre: endpoint.data_centre.to_string(),
+            usable,
+            reason: reason.to_owned(),
+        }
+    });
+    ExplainAnswer {
+        decision: decision.to_owned(),
+        reason,
+        version: snapshot.config().version.0,
+        grant,
+        candidates: candidates.collect(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod announce;
+pub mod api;
 pub mod backend;
 pub mod balance;
 pub mod body;
@@ -9,11 +10,13 @@
 pub mod claim_client;
 pub mod claims;
 pub mod cli;
+pub mod control;
 pub mod daemon;
 pub mod edits;
 pub mod endpoints;
 pub mod error;
 pub mod events;
+pub mod hub;
 pub mod lists;
 pub mod logging;
 pub mod metrics;
