Add the reducer that owns the slots of a backend server

Cause: under a flood, a backend server must serve urgent work first without starving the other ranks, and must refuse what cannot be answered in time.

Change: `admission::Admission` takes arrivals, ends, cancellations, time, drains and resizes, and returns starts and refusals. Order: whole slots of each floor, fractions of floors, then ranks; inside a rank, start-time fair queueing of slot time by the weight of the grant. Service times are measured by rank and plan (mean, median, 90th percentile). Calls that may hold a slot for a second or more hold at most three quarters of the slots below the urgent rank.

Tests: a stateful property test with its own books, and one scenario for each rule. A run with 10000 cases found that the fraction of one floor went before a whole slot of another ("started while normal waits below its floor", left: Some(High)); floors are now served in two passes.

--- /dev/null
+++ b/src/admission/tests.rs
@@ -0,0 +1,57 @@
+//! Tests of the slots: a stateful property test against a simple oracle, and scenarios in
+//! virtual time.
+
+use {
+    super::{Admission, Call, Effect, Outcome, Reason},
+    crate::model::{PlanName, Rank},
+    std::time::{Duration, Instant},
+};
+
+mod machine;
+mod scenarios;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn arrive(
+    admission: &mut Admission,
+    id: u64,
+    rank: Rank,
+    plan: &str,
+    left: Duration,
+    now: Instant,
+) -> Vec<Effect> {
+    let call = Call {
+        id,
+        rank,
+        plan: &PlanName::from(plan),
+        weight: 10,
+        deadline: now + left,
+    };
+    admission.arrive(&call, now)
+}
+
+/// Runs `count` calls of `rank` and `plan` one after the other, so that their service time is
+/// known; returns the time after the last one.
+fn measure(
+    admission: &mut Admission,
+    rank: Rank,
+    plan: &str,
+    service: Duration,
+    mut now: Instant,
+) -> Instant {
+    for id in 0..20 {
+        let id = u64::MAX - id;
+        let effects = arrive(admission, id, rank, plan, Duration::from_hours(1), now);
+        assert_eq!(effects, [Effect::Start(id)]);
+        now += service;
+        admission.finish(id, Outcome::Done, now);
+    }
+    now
+}
+
+fn reason(effects: &[Effect], call: u64) -> Option<Reason> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { id, reason, .. } if *id == call => Some(*reason),
+        _ => None,
+    })
+}
