Add suspects: requests that crash backend servers

Cause: one request that crashes each server that runs it, and is sent again by its caller, takes a service down. Change: in-flight requests of a crash become suspects, run as the only suspect on a server, and are cleared by one answer or condemned by a second crash. Records are counters of rounds that join by maximum, so reports may be repeated and reordered; memory is bounded with a stated eviction. Conclusion: over four daemons with repeated and late reports a poison request crashes two servers and no bystander is condemned.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod model;
 pub mod retry;
 pub mod routes;
+pub mod suspects;
 pub mod wire;
