--- a/src/routes.rs
+++ b/src/routes.rs
@@ -6,52 +6,18 @@
 
 use {
     crate::model::{
-        Config, DataCentre, Digest, Endpoint, Grant, PlanName, Region, ServerName, ServerState,
-        ServiceName,
+        Config, Digest, Endpoint, Grant, PlanName, ServerName, ServerState, ServiceName,
     },
     indexmap::{Equivalent, IndexMap},
     std::{collections::HashMap, fmt, sync::Arc},
-    strum::{Display, EnumCount, EnumIter, IntoEnumIterator},
+    strum::Display,
 };
 
+mod candidates;
 #[cfg(test)]
 mod tests;
 
-/// How far a backend server is from the daemon.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Display, EnumCount, EnumIter,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Distance {
-    /// In the data centre of the daemon.
-    OwnDataCentre,
-    /// In another data centre of the daemon's region.
-    OwnRegion,
-    /// In another region.
-    OtherRegion,
-}
-
-/// The data centre and region of the daemon that builds a snapshot.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Location {
-    /// Data centre of the daemon.
-    pub data_centre: DataCentre,
-    /// Region of the daemon.
-    pub region: Region,
-}
-
-impl Location {
-    /// Distance from this location to `endpoint`.
-    pub fn distance(&self, endpoint: &Endpoint) -> Distance {
-        if endpoint.data_centre == self.data_centre {
-            Distance::OwnDataCentre
-        } else if endpoint.region == self.region {
-            Distance::OwnRegion
-        } else {
-            Distance::OtherRegion
-        }
-    }
-}
+pub use candidates::{Candidates, Distance, Location};
 
 /// Why a call has no route. No refusal of this kind has run the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
@@ -67,52 +33,6 @@
     AllDraining,
 }
 
-/// Backend servers that take new work, grouped by distance.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Candidates {
-    serving: Vec<Arc<Endpoint>>,
-    /// End of each distance group in `serving`.
-    ends: [usize; Distance::COUNT],
-}
-
-impl Candidates {
-    /// Groups the serving ones of `endpoints` by their distance from `here`.
-    ///
-    /// ```
-    /// use anvilbeam::{model::{DataCentre, Region}, routes::{Candidates, Location}};
-    /// let here = Location { data_centre: DataCentre::from("a1"), region: Region::from("a") };
-    /// assert!(Candidates::new(&here, &[]).is_empty());
-    /// ```
-    pub fn new(here: &Location, endpoints: &[Arc<Endpoint>]) -> Self {
-        let mut candidates = Self::default();
-        for distance in Distance::iter() {
-            let group = endpoints.iter().filter(|endpoint| {
-                endpoint.state == ServerState::Serving && here.distance(endpoint) == distance
-            });
-            candidates.serving.extend(group.cloned());
-            candidates.ends[distance as usize] = candidates.serving.len();
-        }
-        candidates
-    }
-
-    /// The group at `distance`.
-    pub fn group(&self, distance: Distance) -> &[Arc<Endpoint>] {
-        let index = distance as usize;
-        let start = if index == 0 { 0 } else { self.ends[index - 1] };
-        &self.serving[start..self.ends[index]]
-    }
-
-    /// All groups, the nearest first.
-    pub fn all(&self) -> &[Arc<Endpoint>] {
-        &self.serving
-    }
-
-    /// Whether no backend server takes new work.
-    pub fn is_empty(&self) -> bool {
-        self.serving.is_empty()
-    }
-}
-
 /// Where a call may go.
 #[derive(Clone, Copy, Debug)]
 pub struct Route<'a> {
@@ -351,6 +271,25 @@
         Ok(Route { grant, candidates })
     }
 
+    /// Bytes of memory that this snapshot holds beside the configuration, estimated from the sizes
+    /// of its parts; names are shared and not counted.
+    pub fn memory_estimate(&self) -> usize {
+        let service = |routes: &Arc<ServiceRoutes>| {
+            let restricted = routes.restricted.values();
+            let listed = restricted.flatten().chain([&routes.unrestricted]);
+            let listed: usize = listed.map(|candidates| candidates.all().len()).sum();
+            let endpoints = routes.endpoints.len();
+            size_of::<ServiceRoutes>()
+                + endpoints * size_of::<Endpoint>()
+                + (endpoints + listed) * size_of::<Arc<Endpoint>>()
+                + routes.restricted.capacity() * size_of::<(PlanName, Candidates)>()
+        };
+        self.services.values().map(service).sum::<usize>()
+            + self.services.capacity() * size_of::<(ServiceName, Arc<ServiceRoutes>)>()
+            + self.callers.capacity() * size_of::<(Digest, PlanName)>()
+            + self.config.grants.len() * size_of::<usize>()
+    }
+
     /// Each announced service with its endpoints, sorted by server name; also draining ones.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Arc<Endpoint>])> {
         let services = self.services.iter();
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -1,7 +1,8 @@
 use {
     super::*,
-    crate::model::{DaemonName, GrantKey, Plan, Rank, Version},
+    crate::model::{DaemonName, DataCentre, GrantKey, Plan, Rank, Region, Version},
     proptest::{prelude::*, test_runner::RngSeed},
+    strum::IntoEnumIterator,
 };
 
 const PLANS: [&str; 3] = ["p0", "p1", "p2"];
