Cut off latency samples in balance

Cause: a single long call, such as an upload, multiplied a server's smoothed latency and got it ejected. Change: a sample counts at most three times the estimate. Without the cut long_calls_eject_nobody prints 'after 2 s, left: 3, right: 0'.

--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -17,6 +17,8 @@
 const MIN_LATENCY: f64 = 1e-4;
 /// Weight of one call in the smoothed share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// Factor over the estimate at which a sample is cut off.
+const MAX_SAMPLE_FACTOR: f64 = 3.0;
 /// Time after which an unused latency estimate counts half, so that a slow server is tried again.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Least weight of a failing server that cannot be ejected.
@@ -135,6 +137,9 @@
             self.latency = Some((sample, now));
             return;
         };
+        // One long call, such as an upload, must not make its server look slow: a server that is
+        // slow shows it in several calls.
+        let sample = sample.min(known * MAX_SAMPLE_FACTOR);
         // An estimate that has not been used for long gives way to the new sample.
         let weight = LATENCY_WEIGHT.max(1.0 - halving(at, now));
         self.latency = Some((known + (sample - known) * weight, now));
--- a/src/balance/tests/policy.rs
+++ b/src/balance/tests/policy.rs
@@ -90,6 +90,25 @@
     assert!(counts[slow] < 200, "{counts:?}");
 }
 
+/// Guards against single long calls, such as uploads, that get healthy servers ejected.
+#[test]
+fn long_calls_eject_nobody() {
+    let now = Instant::now();
+    let servers = near(6);
+    let mut balancer = synced(&servers, now);
+    let calls = std::cell::Cell::new(0);
+    let answer = |_: &ServerName| {
+        calls.set(calls.get() + 1);
+        let millis = if calls.get() % 50 == 0 { 1000 } else { 20 };
+        (Outcome::Succeeded, millis)
+    };
+    for part in 0..60 {
+        let start = now + Duration::from_secs(part);
+        run(&mut balancer, &servers, start, 100, answer);
+        assert_eq!(balancer.ejected(&service()), 0, "after {part} s");
+    }
+}
+
 /// Guards against a server that stays out after it has recovered, and against ejections that do
 /// not grow.
 #[test]
