--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod stand_in;
 pub mod versions;
 pub mod wal;
+pub mod suspects;
 pub mod wire;
 pub mod yaml;
