--- a/src/cli.rs
+++ b/src/cli.rs
@@ -66,7 +66,7 @@
     Dev(Dev),
 }
 
-/// Options of `plans` and `grants`.
+/// Shows, compares, validates or replaces one list.
 #[derive(Debug, Default, Options)]
 pub struct ListCli {
     /// print this help
@@ -89,14 +89,14 @@
     Validate(FileOne),
 }
 
-/// A command without options.
+/// Takes no options of its own.
 #[derive(Debug, Default, Options)]
 pub struct NoOptions {
     /// print this help
     pub help: bool,
 }
 
-/// One file.
+/// Compares or validates one file; the other list stays as it is.
 #[derive(Debug, Default, Options)]
 pub struct FileOne {
     /// print this help
@@ -106,7 +106,7 @@
     pub file: Option<String>,
 }
 
-/// A file for each list.
+/// Compares or validates one or both lists as one whole.
 #[derive(Debug, Default, Options)]
 pub struct FilesBoth {
     /// print this help
@@ -119,7 +119,7 @@
     pub grants: Option<String>,
 }
 
-/// Options of `plans put` and `grants put`.
+/// Replaces one list with a file; the other list stays as it is.
 #[derive(Debug, Default, Options)]
 pub struct PutOne {
     /// print this help
@@ -141,7 +141,7 @@
     pub timeout: Option<String>,
 }
 
-/// Options of `put`.
+/// Replaces one or both lists in one edit, which is accepted as a whole or not at all.
 #[derive(Debug, Default, Options)]
 pub struct PutBoth {
     /// print this help
@@ -166,7 +166,7 @@
     pub timeout: Option<String>,
 }
 
-/// Options of `explain`.
+/// Shows how a daemon would route a call now, and why.
 #[derive(Debug, Default, Options)]
 pub struct Explain {
     /// print this help
@@ -182,7 +182,7 @@
     pub daemon: Option<String>,
 }
 
-/// Options of `members`.
+/// Shows or changes the replicas of the config group, one change at a time.
 #[derive(Debug, Default, Options)]
 pub struct MembersCli {
     /// print this help
@@ -203,7 +203,7 @@
     Remove(RemoveMember),
 }
 
-/// Options of `members add`.
+/// Adds a replica as a learner, which votes once it has caught up.
 #[derive(Debug, Default, Options)]
 pub struct AddMember {
     /// print this help
@@ -216,7 +216,7 @@
     pub address: Option<String>,
 }
 
-/// Options of `members remove`.
+/// Removes a replica for good; its disk cannot join again.
 #[derive(Debug, Default, Options)]
 pub struct RemoveMember {
     /// print this help
@@ -229,7 +229,7 @@
     pub id: Option<String>,
 }
 
-/// Options of `dev`.
+/// Runs all roles with stand-in backend servers on loopback, in this process.
 #[derive(Debug, Default, Options)]
 pub struct Dev {
     /// print this help
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod model;
+pub mod operator;
 pub mod operator_api;
 pub mod options;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,49 @@
 //! Command line for operators.
 
-fn main() {}
+use {
+    anvilbeam::{
+        operator::{self, Exit},
+        options::{self, Parsed},
+    },
+    std::{
+        env,
+        io::{self, Write},
+        process::ExitCode,
+    },
+};
+
+fn main() -> ExitCode {
+    let args: Vec<_> = env::args_os()
+        .skip(1)
+        .map(|arg| arg.to_string_lossy().into_owned())
+        .collect();
+    ExitCode::from(run(&args) as u8)
+}
+
+fn run(args: &[String]) -> Exit {
+    let options = match options::parse(args, |name| env::var(name).ok()) {
+        Ok(Parsed::Run(options)) => options,
+        Ok(Parsed::Print(text)) => {
+            let written = io::stdout().write_all(text.as_bytes());
+            return written.map_or(Exit::Failed, |()| Exit::Done);
+        }
+        Err(e) => {
+            eprintln!("error: {e}\nnext: see anvilbeam --help");
+            return Exit::Usage;
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(operator::run(
+            &options,
+            &mut io::stdout(),
+            &mut io::stderr(),
+        )),
+        Err(e) => {
+            eprintln!("error: start the runtime: {e}\nnext: check the limits of the system");
+            Exit::Failed
+        }
+    }
+}
