--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod model;
+pub mod operator;
 pub mod operator_api;
 pub mod options;
 pub mod peer;
