Run the whole path as separate processes

Cause: nothing connected the reducers yet. Change: programs anvilbeam-control and anvilbeam-daemon; an edit travels from the operators' port through the replicated log and a stream to each daemon, and a call from the caller port through the owner daemon to its backend server.

--- /dev/null
+++ b/src/bin/anvilbeam-control.rs
@@ -0,0 +1,7 @@
+//! One replica of a control group.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    anvilbeam::program::control_main()
+}
--- /dev/null
+++ b/src/bin/anvilbeam-daemon.rs
@@ -0,0 +1,7 @@
+//! The daemon beside one backend server.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    anvilbeam::program::daemon_main()
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -238,3 +238,27 @@
     #[options(no_short)]
     pub check: bool,
 }
+
+/// Options of `anvilbeam-control` and `anvilbeam-daemon`.
+#[derive(Debug, Default, Options)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "each is one flag of the command line"
+)]
+pub struct ProgramCli {
+    /// print this help
+    pub help: bool,
+    /// print the version
+    #[options(short = "V")]
+    pub version: bool,
+    /// settings file
+    #[options(meta = "FILE")]
+    pub settings: Option<String>,
+    /// only check the settings file
+    #[options(no_short)]
+    pub check: bool,
+    /// found the group with the replicas that the settings name; only for the first start of a
+    /// control replica
+    #[options(no_short)]
+    pub bootstrap: bool,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operator_api;
 pub mod options;
 pub mod peer;
+pub mod program;
 pub mod raft;
 pub mod refusal;
 pub mod replica;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,417 @@
+//! A mesh of real processes on loopback, with stand-in backend servers in the test process.
+
+#![allow(dead_code, reason = "each test file uses a part of the harness")]
+
+use {
+    anvilbeam::{
+        announce::Announcement,
+        body::{self, Body},
+        model::{Digest, ServerState},
+        operator_api::{EDITS, EditRequest, STATUS, StatusAnswer},
+        stand_in::{Echo, Runs, StandIn, StandInConfig},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, StatusCode, header},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    std::{
+        fs,
+        net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::{net::TcpStream, time::sleep},
+};
+
+pub const MESH_TOKEN: &str = "mesh-token-of-the-tests";
+pub const OPERATOR_TOKEN: &str = "operator-token-of-the-tests";
+/// Longest wait for a state that must come; only a hang reaches it.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+
+static MESHES: AtomicU32 = AtomicU32::new(0);
+
+/// One process, killed when dropped.
+pub struct Process {
+    child: Option<Child>,
+    program: &'static str,
+    settings: PathBuf,
+    bootstrap: bool,
+}
+
+impl Process {
+    pub fn start(&mut self) {
+        let mut command = Command::new(self.program);
+        command.arg("--settings").arg(&self.settings);
+        if self.bootstrap {
+            command.arg("--bootstrap");
+        }
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))
+            .unwrap();
+        command.stderr(Stdio::from(log)).stdin(Stdio::null());
+        self.child = Some(command.spawn().unwrap());
+        self.bootstrap = false;
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    /// Asks for a graceful stop and waits for it.
+    pub fn terminate(&mut self) -> bool {
+        let mut child = self.child.take().unwrap();
+        let asked = Command::new("kill").arg(child.id().to_string()).status();
+        assert!(asked.unwrap().success());
+        child.wait().unwrap().success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn echo(&self) -> Echo {
+        serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+
+    pub fn outcome(&self) -> Option<&str> {
+        self.headers.get("anvilbeam-outcome")?.to_str().ok()
+    }
+}
+
+/// A daemon's addresses.
+pub struct DaemonPorts {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub local: SocketAddr,
+}
+
+/// All processes of one test.
+pub struct Mesh {
+    pub folder: TempDir,
+    ip: IpAddr,
+    next_port: u16,
+    pub control: Vec<Process>,
+    pub control_peers: Vec<SocketAddr>,
+    pub operators: Vec<SocketAddr>,
+    pub claims: Vec<Process>,
+    claim_peers: Vec<SocketAddr>,
+    pub daemons: Vec<Process>,
+    pub ports: Vec<DaemonPorts>,
+    pub servers: Vec<StandIn>,
+    pub runs: Runs,
+    edits: u32,
+}
+
+impl Mesh {
+    /// Starts a config group and a claims group of `replicas` processes each.
+    pub fn start(replicas: usize) -> Self {
+        let number = MESHES.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        // A loopback address of its own keeps the fixed ports of restarts free.
+        let ip = IpAddr::V4(Ipv4Addr::new(
+            127,
+            100 + (process % 100) as u8,
+            (process / 100 % 250) as u8,
+            1 + number as u8,
+        ));
+        let mut mesh = Self {
+            folder: tempfile::tempdir().unwrap(),
+            ip,
+            next_port: 20_000,
+            control: Vec::new(),
+            control_peers: Vec::new(),
+            operators: Vec::new(),
+            claims: Vec::new(),
+            claim_peers: Vec::new(),
+            daemons: Vec::new(),
+            ports: Vec::new(),
+            servers: Vec::new(),
+            runs: Runs::default(),
+            edits: 0,
+        };
+        mesh.control_peers = (0..replicas).map(|_| mesh.port()).collect();
+        mesh.operators = (0..replicas).map(|_| mesh.port()).collect();
+        mesh.claim_peers = (0..replicas).map(|_| mesh.port()).collect();
+        for at in 0..replicas {
+            let config = mesh.control_settings("config", at, true);
+            mesh.control.push(config);
+            let claims = mesh.control_settings("claims", at, true);
+            mesh.claims.push(claims);
+        }
+        for process in mesh.control.iter_mut().chain(&mut mesh.claims) {
+            process.start();
+        }
+        mesh
+    }
+
+    /// A free address on the loopback address of this mesh.
+    pub fn port(&mut self) -> SocketAddr {
+        loop {
+            let address = SocketAddr::new(self.ip, self.next_port);
+            self.next_port += 1;
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    }
+
+    fn control_settings(&self, group: &str, at: usize, bootstrap: bool) -> Process {
+        let peers = if group == "config" {
+            &self.control_peers
+        } else {
+            &self.claim_peers
+        };
+        let founders: Vec<String> = peers
+            .iter()
+            .enumerate()
+            .map(|(at, peer)| format!("{{ name: {group}-{at}, address: \"{peer}\" }}"))
+            .collect();
+        let mut text = format!(
+            "name: {group}-{at}\ngroup: {group}\nregion: r1\ndata_centre: r1-a\n\
+             peer_address: {}\ndata_folder: {group}-{at}\nbootstrap: [{}]\nmesh_token: {MESH_TOKEN}\n",
+            peers[at],
+            founders.join(", ")
+        );
+        if group == "config" {
+            let hash = Digest::of(OPERATOR_TOKEN.as_bytes());
+            let operators = format!("operators: [{{ name: tests, token_hash: {hash} }}]");
+            let address = self.operators[at];
+            text.push_str(&format!("operator_address: {address}\n{operators}\n"));
+        }
+        self.process(
+            env!("CARGO_BIN_EXE_anvilbeam-control"),
+            &format!("{group}-{at}"),
+            &text,
+            bootstrap,
+        )
+    }
+
+    fn process(&self, program: &'static str, name: &str, text: &str, bootstrap: bool) -> Process {
+        let settings = self.folder.path().join(format!("{name}.yaml"));
+        fs::write(&settings, text).unwrap();
+        Process {
+            child: None,
+            program,
+            settings,
+            bootstrap,
+        }
+    }
+
+    /// Starts a daemon with a backend server of `service` beside it; returns its position.
+    pub fn add(&mut self, data_centre: &str, service: &str, slots: u32) -> usize {
+        let at = self.daemons.len();
+        let (callers, local, peer) = (self.port(), self.port(), self.port());
+        let join = |addresses: &[SocketAddr]| {
+            let quoted: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
+            quoted.join(", ")
+        };
+        let text = format!(
+            "name: daemon-{at}\nregion: r1\ndata_centre: {data_centre}\ncaller_address: {callers}\n\
+             local_address: {local}\npeer_address: {peer}\ncontrol: [{}]\nclaims: {{ r1: [{}] }}\n\
+             mesh_token: {MESH_TOKEN}\n",
+            join(&self.control_peers),
+            join(&self.claim_peers)
+        );
+        let mut process = self.process(
+            env!("CARGO_BIN_EXE_anvilbeam-daemon"),
+            &format!("daemon-{at}"),
+            &text,
+            false,
+        );
+        process.start();
+        self.daemons.push(process);
+        self.ports.push(DaemonPorts {
+            name: format!("daemon-{at}"),
+            callers,
+            local,
+        });
+        let server = self.server(at, service, slots, 1);
+        self.servers.push(server);
+        at
+    }
+
+    /// A stand-in backend server beside the daemon at `at`.
+    pub fn server(&self, at: usize, service: &str, slots: u32, incarnation: u64) -> StandIn {
+        StandIn::start(StandInConfig {
+            announcement: Announcement {
+                server: format!("server-{at}").as_str().into(),
+                service: service.into(),
+                address: self.ports[at].local,
+                slots,
+                state: ServerState::Serving,
+                incarnation,
+            },
+            daemon: self.ports[at].local,
+            runs: Arc::clone(&self.runs),
+        })
+        .unwrap()
+    }
+
+    /// Puts both lists in one edit and returns the version; waits for a leader.
+    pub async fn put(&mut self, plans: &str, grants: &str) -> u64 {
+        self.edits += 1;
+        let edit_id = format!("edit-{}", self.edits);
+        let started = Instant::now();
+        loop {
+            let base_version = self.status().await.version;
+            let edit = EditRequest {
+                edit_id: edit_id.clone(),
+                base_version,
+                plans: Some(plans.to_owned()),
+                grants: Some(grants.to_owned()),
+            };
+            if let Some(answer) = self.ask_operators("POST", EDITS, &edit).await {
+                assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+                let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+                return value["version"].as_u64().unwrap();
+            }
+            assert!(started.elapsed() < PATIENCE, "no leader took the edit");
+        }
+    }
+
+    /// Status from the leader.
+    pub async fn status(&self) -> StatusAnswer {
+        let started = Instant::now();
+        loop {
+            if let Some(answer) = self.ask_operators("GET", STATUS, &()).await {
+                return serde_json::from_slice(&answer.body).unwrap();
+            }
+            assert!(started.elapsed() < PATIENCE, "no leader gave the status");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Asks each operator port until one does not send the request elsewhere.
+    pub async fn ask_operators<T: serde::Serialize>(
+        &self,
+        method: &str,
+        path: &str,
+        message: &T,
+    ) -> Option<Answer> {
+        for address in &self.operators {
+            let req = Request::builder()
+                .method(method)
+                .uri(path)
+                .header(header::AUTHORIZATION, format!("Bearer {OPERATOR_TOKEN}"))
+                .body(body::full(serde_json::to_vec(message).unwrap()))
+                .unwrap();
+            match send(*address, req).await {
+                Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE => {
+                    return Some(answer);
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    /// Sends one request to the daemon at `at`.
+    pub async fn call(
+        &self,
+        at: usize,
+        method: &str,
+        service: &str,
+        path: &str,
+        key: &str,
+    ) -> Answer {
+        let req = request(method, service, path, key)
+            .body(body::empty())
+            .unwrap();
+        send(self.ports[at].callers, req).await.unwrap()
+    }
+
+    /// Repeats a request until `accept` takes the answer.
+    pub async fn call_until(
+        &self,
+        at: usize,
+        service: &str,
+        path: &str,
+        key: &str,
+        accept: impl Fn(&Answer) -> bool,
+    ) -> Answer {
+        let started = Instant::now();
+        loop {
+            let req = request("GET", service, path, key)
+                .body(body::empty())
+                .unwrap();
+            let answer = send(self.ports[at].callers, req).await;
+            match answer {
+                Ok(answer) if accept(&answer) => return answer,
+                answer => assert!(started.elapsed() < PATIENCE, "last answer: {answer:?}"),
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// A request with a plan's key.
+pub fn request(method: &str, service: &str, path: &str, key: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, service)
+        .header(header::AUTHORIZATION, format!("Bearer {key}"))
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub async fn send(address: SocketAddr, req: Request<Body>) -> Result<Answer, body::BoxError> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(req).await?;
+    let (parts, incoming) = response.into_parts();
+    let bytes = body::collect(body::boxed(incoming), 64 * 1024 * 1024).await?;
+    drop(sender);
+    driver.await??;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: bytes,
+    })
+}
+
+/// The plans of the tests: `clerks` with the key `clerks-key` and so on.
+pub fn plans(names: &[&str]) -> String {
+    let entry = |name: &&str| {
+        let hash = Digest::of(format!("{name}-key").as_bytes());
+        format!("- {{ name: {name}, key_hashes: [{hash}], home_region: r1 }}\n")
+    };
+    format!("plans:\n{}", names.iter().map(entry).collect::<String>())
+}
+
+/// Grants from `(plan, service, servers)`.
+pub fn grants(entries: &[(&str, &str, &str)]) -> String {
+    let entry = |(plan, service, servers): &(&str, &str, &str)| {
+        format!(
+            "- {{ plan: {plan}, service: {service}, servers: [{servers}], capacity: 1000, rank: urgent }}\n"
+        )
+    };
+    format!("grants:\n{}", entries.iter().map(entry).collect::<String>())
+}
