--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Answer, Body, HardState, Leader, Member, Message, Payload, Position, Progress, Raft,
-        ReplicaId, State,
+        Answer, Body, HardState, Leader, Member, MemberRole, Message, Payload, Position, Progress,
+        Raft, ReplicaId, State,
     },
     indexmap::IndexSet,
     std::{collections::VecDeque, time::Instant},
@@ -25,11 +25,19 @@
             return;
         }
         self.reset_election(now, random);
-        if self.is_voter(self.me.id) {
+        if self.may_campaign() {
             self.campaign(true, false, now);
         }
     }
 
+    /// A replica whose removal is not committed yet still stands for election: it may hold the
+    /// longest log, so that no other replica can be elected.
+    fn may_campaign(&self) -> bool {
+        let committed = self.log.members_at(self.commit).iter();
+        let mut committed = committed.filter(|member| member.role == MemberRole::Voter);
+        self.is_voter(self.me.id) || committed.any(|member| member.id == self.me.id)
+    }
+
     /// Whether the voters that answered within the election timeout are a quorum.
     fn hears_quorum(&self, now: Instant) -> bool {
         let State::Leader(leader) = &self.state else {
@@ -167,7 +175,7 @@
         }
         match message.body {
             Body::VoteReply { pre, granted } => self.vote_replied(from.id, term, pre, granted, now),
-            Body::TakeOver if term == self.hard.term && self.is_voter(self.me.id) => {
+            Body::TakeOver if term == self.hard.term && self.may_campaign() => {
                 self.reset_election(now, random);
                 self.campaign(false, true, now);
             }
--- /dev/null
+++ b/src/raft/tests/rules.rs
@@ -0,0 +1,246 @@
+//! Tests of single rules of the log.
+
+use {
+    super::sim::{CALM, Sim, config, member},
+    crate::raft::{
+        Answer, Body, Entry, Event, HardState, Member, MemberChange, MemberRole, Message, Payload,
+        Position, Raft, ReplicaId, Role, Snapshot, Stored,
+    },
+    std::time::{Duration, Instant},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn elected(count: usize) -> (Sim, usize) {
+    let mut sim = Sim::new(count);
+    sim.settle();
+    let leader = sim.leader().unwrap();
+    (sim, leader)
+}
+
+/// Guards against a voter that returns from a partition and deposes a healthy leader.
+#[test]
+fn returning_voter_does_not_depose_the_leader() {
+    let (mut sim, leader) = elected(3);
+    let term = sim.raft(leader).unwrap().term();
+    sim.partition(1 << ((leader + 1) % 3));
+    sim.run(5 * SECOND, CALM);
+    sim.heal();
+    sim.run(5 * SECOND, CALM);
+    assert_eq!(sim.leader(), Some(leader));
+    assert_eq!(sim.raft(leader).unwrap().term(), term);
+}
+
+/// Guards against a voter that cannot hear the leader and deposes it with the others' votes.
+#[test]
+fn voter_that_misses_heartbeats_does_not_depose_the_leader() {
+    let (mut sim, leader) = elected(3);
+    let term = sim.raft(leader).unwrap().term();
+    sim.cut_link(leader, (leader + 1) % 3);
+    sim.run(5 * SECOND, CALM);
+    assert_eq!(sim.leader(), Some(leader));
+    assert_eq!(sim.raft(leader).unwrap().term(), term);
+}
+
+/// Guards against a leader that holds on without a quorum and leaves its callers waiting.
+#[test]
+fn leader_without_quorum_steps_down() {
+    let (mut sim, leader) = elected(3);
+    sim.partition(1 << leader);
+    let proposal = sim.propose(leader);
+    let read = sim.request(leader, Event::Read);
+    sim.run(SECOND, CALM);
+    assert_ne!(sim.raft(leader).unwrap().role(), Role::Leader);
+    assert!(sim.answers.contains(&(proposal, Answer::Lost)));
+    assert!(sim.answers.contains(&(read, Answer::NotLeader(None))));
+}
+
+/// Guards against the loss of accepted entries when a second replica is lost right after the
+/// first was repaired.
+#[test]
+fn second_loss_after_repair_keeps_accepted_entries() {
+    let (mut sim, leader) = elected(3);
+    sim.propose_all(leader, 20);
+    sim.run(SECOND, CALM);
+    for loss in 1..=2 {
+        let slot = (leader + loss) % 3;
+        assert!(sim.lose_disk(slot));
+        sim.restart_stopped();
+        let repaired = |sim: &Sim| {
+            let members = sim.committed_members();
+            members.len() == 3
+                && members
+                    .iter()
+                    .all(|m| m.role == MemberRole::Voter && !sim.lost.contains(&m.id))
+        };
+        while !repaired(&sim) {
+            sim.repair();
+            sim.run(SECOND, CALM);
+        }
+    }
+    assert_eq!(sim.accepted.len(), 1 + 20 + 6);
+    sim.stop(leader);
+    sim.run(3 * SECOND, CALM);
+    let successor = sim.leader().expect("the two new replicas are a quorum");
+    assert!(sim.nodes[successor].applied >= 27);
+}
+
+/// Guards against a learner that is made a voter before it holds the log.
+#[test]
+fn learner_is_promoted_only_after_catching_up() {
+    let (mut sim, leader) = elected(3);
+    let id = ReplicaId(99);
+    let change = |change| |number| Event::Change(number, change);
+    sim.request(leader, change(MemberChange::Add(member(id))));
+    sim.run(SECOND, CALM);
+    let early = sim.request(leader, change(MemberChange::Promote(id)));
+    sim.run(SECOND, CALM);
+    let refused = format!("member {id} has not caught up");
+    assert!(sim.answers.contains(&(early, Answer::Refused(refused))));
+}
+
+/// Guards against two member changes at once, whose quorums may be disjoint.
+#[test]
+fn second_change_waits_for_the_first() {
+    let (mut sim, leader) = elected(3);
+    let add = |id| move |n| Event::Change(n, MemberChange::Add(member(ReplicaId(id))));
+    sim.request(leader, add(50));
+    let second = sim.request(leader, add(51));
+    sim.run(SECOND, CALM);
+    let refused = "another change is not committed yet".to_owned();
+    assert!(sim.answers.contains(&(second, Answer::Refused(refused))));
+}
+
+/// Guards against a transfer that waits for the election timeout or is refused by the voters.
+#[test]
+fn leadership_moves_on_request() {
+    let (mut sim, leader) = elected(3);
+    let to = (leader + 1) % 3;
+    let id = sim.nodes[to].id;
+    sim.request(leader, |number| Event::Transfer(number, id));
+    sim.run(SECOND, CALM);
+    assert_eq!(sim.leader(), Some(to));
+}
+
+/// A voter of three, which holds entries of the given terms and is in the last of these.
+fn voter_with(terms: &[u64], now: Instant) -> (Raft, Vec<Member>) {
+    let voters: Vec<_> = (1..=3).map(ReplicaId).map(member).collect();
+    let entry = |(i, term): (usize, &u64)| Entry {
+        at: Position {
+            index: i as u64 + 1,
+            term: *term,
+        },
+        payload: Payload::Empty,
+    };
+    let stored = Stored {
+        hard: HardState {
+            term: terms.last().copied().unwrap_or(0),
+            ..HardState::bootstrapped(&voters)
+        },
+        snapshot: Some(Snapshot {
+            members: voters.clone(),
+            ..Snapshot::default()
+        }),
+        entries: terms.iter().enumerate().map(entry).collect(),
+    };
+    let raft = Raft::new(config(), voters[0].clone(), stored, now, 0);
+    (raft, voters)
+}
+
+fn from(raft: &Raft, sender: &Member, term: u64, body: Body) -> Event {
+    Event::Message(Message {
+        group: raft.hard_state().group,
+        from: sender.clone(),
+        to: raft.me().id,
+        term,
+        body,
+    })
+}
+
+/// Guards against a leader that commits an entry of an earlier term by counting replicas: a later
+/// leader without that entry may still be elected and overwrite it.
+#[test]
+fn entry_of_earlier_term_is_not_committed_by_count() {
+    let now = Instant::now();
+    let (mut raft, voters) = voter_with(&[1, 2], now);
+    let later = now + SECOND;
+    raft.handle(Event::Tick, later, 0);
+    for pre in [true, false] {
+        let reply = from(&raft, &voters[1], 3, Body::VoteReply { pre, granted: true });
+        raft.handle(reply, later, 0);
+    }
+    assert_eq!(
+        (raft.role(), raft.term(), raft.last().index),
+        (Role::Leader, 3, 3)
+    );
+    for (matched, commit) in [(2, 0), (3, 3)] {
+        let body = Body::AppendReply {
+            round: 0,
+            matched,
+            rejected: None,
+        };
+        let reply = from(&raft, &voters[1], 3, body);
+        raft.handle(reply, later, 0);
+        raft.flush(later);
+        assert_eq!(
+            raft.commit_index(),
+            commit,
+            "entry {matched} is on two replicas"
+        );
+    }
+}
+
+/// Guards against a second vote in one term and against a vote for a shorter log.
+#[test]
+fn votes_once_and_only_for_a_complete_log() {
+    let now = Instant::now();
+    let (mut raft, voters) = voter_with(&[1, 2], now);
+    let ask = |raft: &mut Raft, voter: usize, term, last| {
+        let body = Body::Vote {
+            pre: false,
+            transfer: false,
+            last,
+        };
+        let request = from(raft, &voters[voter], term, body);
+        raft.handle(request, now, 0);
+        let effects = raft.flush(now);
+        matches!(
+            effects.send[0].1.body,
+            Body::VoteReply { granted: true, .. }
+        )
+    };
+    let old = Position { index: 9, term: 1 };
+    let equal = Position { index: 2, term: 2 };
+    assert!(!ask(&mut raft, 1, 3, old));
+    assert!(ask(&mut raft, 1, 3, equal));
+    assert!(!ask(&mut raft, 2, 3, equal));
+    assert!(ask(&mut raft, 1, 3, equal));
+}
+
+/// Guards against a message to an earlier identity or from another group that takes effect.
+#[test]
+fn foreign_messages_are_dropped() {
+    let now = Instant::now();
+    let (mut raft, voters) = voter_with(&[1], now);
+    let body = Body::Vote {
+        pre: false,
+        transfer: true,
+        last: Position { index: 9, term: 9 },
+    };
+    let Event::Message(message) = from(&raft, &voters[1], 9, body) else {
+        unreachable!("`from` makes messages");
+    };
+    let to_earlier = Message {
+        to: ReplicaId(77),
+        ..message.clone()
+    };
+    let other_group = Message {
+        group: message.group ^ 1,
+        ..message
+    };
+    for foreign in [to_earlier, other_group] {
+        raft.handle(Event::Message(foreign), now, 0);
+        assert!(raft.flush(now).send.is_empty());
+        assert_eq!(raft.term(), 1);
+    }
+}
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -1,8 +1,8 @@
 //! The handle of a running replica.
 
 use {
-    super::{Role, Status},
-    crate::raft::{Answer, MAX_COMMAND, Member, MemberChange, Message, ReplicaId},
+    super::Status,
+    crate::raft::{Answer, MAX_COMMAND, Member, MemberChange, Message, ReplicaId, Role},
     bytes::Bytes,
     std::{
         fmt,
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -5,18 +5,22 @@
 //! the thread ends with the error and nothing of the batch is acknowledged.
 
 mod handle;
+mod options;
 
 #[cfg(test)]
 mod tests;
 
-pub use handle::{Handle, ProposeError};
+pub use {
+    handle::{Handle, ProposeError},
+    options::{Machine, Options, Status},
+};
 
 use {
     crate::{
         error::{Error, Result},
         raft::{
-            Answer, Config, Effects, Entry, Event, MAX_SNAPSHOT, Member, MemberRole, Message,
-            Payload, Raft, ReplicaId, Role, Snapshot,
+            Answer, Effects, Entry, Event, MAX_SNAPSHOT, Member, MemberRole, Message, Payload,
+            Raft, ReplicaId, Snapshot,
         },
         wal::{self, Batch, Wal},
     },
@@ -24,9 +28,6 @@
     handle::{Request, Waiting},
     indexmap::IndexMap,
     std::{
-        fmt,
-        net::SocketAddr,
-        path::PathBuf,
         sync::mpsc::{Receiver, RecvTimeoutError},
         thread,
         time::Instant,
@@ -37,79 +38,6 @@
 /// Most events in one batch; bounds the time between two checks of the deadline.
 const BATCH_EVENTS: usize = 1024;
 
-/// A state machine and its functions.
-pub struct Machine<S> {
-    /// State before the first entry.
-    pub state: S,
-    /// Applies the command of the entry at an index; returns the answer to its proposer. It gives
-    /// the same result on each replica.
-    pub apply: fn(&mut S, u64, &[u8]) -> Vec<u8>,
-    /// Encodes the state.
-    pub snapshot: fn(&S) -> Result<Vec<u8>>,
-    /// Decodes a state.
-    pub restore: fn(&[u8]) -> Result<S>,
-}
-
-impl<S> fmt::Debug for Machine<S> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Machine").finish_non_exhaustive()
-    }
-}
-
-/// Settings of a replica.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Name for operators.
-    pub name: String,
-    /// Peer address of this replica.
-    pub address: SocketAddr,
-    /// Data folder.
-    pub folder: PathBuf,
-    /// Times and limits of the log.
-    pub raft: Config,
-    /// Limits of the data folder.
-    pub wal: wal::Options,
-    /// Bytes of applied entries after which a snapshot is taken.
-    pub snapshot_after: usize,
-}
-
-impl Options {
-    /// Settings with the usual times and limits.
-    pub fn new(name: &str, address: SocketAddr, folder: PathBuf) -> Self {
-        Self {
-            name: name.to_owned(),
-            address,
-            folder,
-            raft: Config::default(),
-            wal: wal::Options::default(),
-            snapshot_after: 64 * 1024 * 1024,
-        }
-    }
-}
-
-/// What a replica reports about itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Status {
-    /// Identity of the data folder.
-    pub id: ReplicaId,
-    /// Group; 0 until the replica has joined one.
-    pub group: u64,
-    /// Role.
-    pub role: Role,
-    /// Term.
-    pub term: u64,
-    /// Leader, if it is known.
-    pub leader: Option<Member>,
-    /// Index up to which entries are known to be committed.
-    pub commit_index: u64,
-    /// Index of the last applied entry.
-    pub applied_index: u64,
-    /// Member list in force.
-    pub members: Vec<Member>,
-    /// Size of the data folder in bytes.
-    pub bytes: u64,
-}
-
 /// The thread's side of a replica.
 struct Replica<S, F> {
     raft: Raft,
--- a/src/replica/tests.rs
+++ b/src/replica/tests.rs
@@ -1,10 +1,10 @@
 //! Groups of running replicas on real folders.
 
 use {
-    super::{Handle, Machine, Options, ProposeError, Role, identity, start},
+    super::{Handle, Machine, Options, ProposeError, identity, start},
     crate::{
         error::{Error, Result},
-        raft::{Config, Member, MemberChange, MemberRole, Message, ReplicaId},
+        raft::{Config, Member, MemberChange, MemberRole, Message, ReplicaId, Role},
         wal, wire,
     },
     std::{
