Lower the least weight of a failing server in balance

Cause: with four lying servers of 6 only three may be ejected, and the fourth kept a noticeable share. Change: least weight 0.005 instead of 0.02.

--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -22,7 +22,7 @@
 /// Time after which an unused latency estimate counts half, so that a slow server is tried again.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Least weight of a failing server that cannot be ejected.
-const MIN_RELIABILITY: f64 = 0.02;
+const MIN_RELIABILITY: f64 = 0.005;
 /// Failures in a row that raise a suspicion.
 const STREAK: u32 = 5;
 /// Failures above the better peers' share that eject a server.
