Suspect a server after three failures in a row

Cause: a quiet daemon spends several calls on a lying server before it ejects it. Change: three failures in a row raise the suspicion, not five; the margin over the better peers still decides.

--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -24,7 +24,7 @@
 /// Least weight of a failing server that cannot be ejected.
 const MIN_RELIABILITY: f64 = 0.005;
 /// Failures in a row that raise a suspicion.
-const STREAK: u32 = 5;
+const STREAK: u32 = 3;
 /// Failures above the better peers' share that eject a server.
 const FAILURE_MARGIN: f64 = 0.2;
 /// Factor over the better peers' latency that counts as slow by far.
