--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -22,9 +22,9 @@
 /// Time after which an unused latency estimate counts half, so that a slow server is tried again.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Least weight of a failing server that cannot be ejected.
-const MIN_RELIABILITY: f64 = 0.02;
+const MIN_RELIABILITY: f64 = 0.005;
 /// Failures in a row that raise a suspicion.
-const STREAK: u32 = 5;
+const STREAK: u32 = 3;
 /// Failures above the better peers' share that eject a server.
 const FAILURE_MARGIN: f64 = 0.2;
 /// Factor over the better peers' latency that counts as slow by far.
