--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -193,18 +193,22 @@
             .enumerate()
             .map(|(at, peer)| format!("{{ name: {group}-{at}, address: \"{peer}\" }}"))
             .collect();
-        let mut text = format!(
+        let operators = if group == "config" {
+            let hash = Digest::of(OPERATOR_TOKEN.as_bytes());
+            let address = self.operators[at];
+            format!(
+                "operator_address: {address}\noperators: [{{ name: tests, token_hash: {hash} }}]\n"
+            )
+        } else {
+            String::new()
+        };
+        let text = format!(
             "name: {group}-{at}\ngroup: {group}\nregion: r1\ndata_centre: r1-a\n\
-             peer_address: {}\ndata_folder: {group}-{at}\nbootstrap: [{}]\nmesh_token: {MESH_TOKEN}\n",
+             peer_address: {}\ndata_folder: {group}-{at}\nbootstrap: [{}]\n\
+             mesh_token: {MESH_TOKEN}\n{operators}",
             peers[at],
             founders.join(", ")
         );
-        if group == "config" {
-            let hash = Digest::of(OPERATOR_TOKEN.as_bytes());
-            let operators = format!("operators: [{{ name: tests, token_hash: {hash} }}]");
-            let address = self.operators[at];
-            text.push_str(&format!("operator_address: {address}\n{operators}\n"));
-        }
         self.process(
             env!("CARGO_BIN_EXE_anvilbeam-control"),
             &format!("{group}-{at}"),
