--- /dev/null
+++ b/src/dev/check.rs
@@ -0,0 +1,174 @@
+//! `dev --check`: one request of each kind of work, and one edit that moves traffic.
+
+use {
+    super::{Mesh, OPERATOR_TOKEN, Result, lists, put},
+    crate::{
+        body::{self, Body},
+        http_client,
+        operator_api::{STATUS, StatusAnswer},
+        stand_in::Echo,
+    },
+    bytes::Bytes,
+    http::{Request, Response, header},
+    std::{
+        io::Write,
+        sync::PoisonError,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Size of the upload in bytes.
+const UPLOAD: usize = 4 * 1024 * 1024;
+/// Time in which the first calls must be answered.
+const START_TIME: Duration = Duration::from_secs(20);
+
+/// Runs all checks and prints what they saw; returns whether all passed.
+pub(super) async fn run(mesh: &Mesh, out: &mut impl Write, notes: &mut impl Write) -> Result<bool> {
+    writeln!(out)?;
+    let mut passed = true;
+    let consultation = consult(mesh).await?;
+    passed &= report(
+        out,
+        "roll consultation",
+        consultation.path == "/entry/7",
+        &format!("answered by {}", consultation.server),
+    )?;
+    passed &= order(mesh, out, "issuance order", "boards", "issuance").await?;
+    passed &= order(mesh, out, "amendment filing", "filings", "records").await?;
+    passed &= upload(mesh, out).await?;
+    passed &= refusal(mesh, out).await?;
+    passed &= move_traffic(mesh, out, notes).await?;
+    writeln!(
+        out,
+        "{}",
+        if passed {
+            "all checks passed"
+        } else {
+            "a check failed"
+        }
+    )?;
+    Ok(passed)
+}
+
+fn report(out: &mut impl Write, what: &str, passed: bool, seen: &str) -> Result<bool> {
+    let verdict = if passed { "ok" } else { "FAILED" };
+    writeln!(out, "{verdict:<7} {what}: {seen}")?;
+    Ok(passed)
+}
+
+fn request(method: &str, service: &str, path: &str, plan: &str) -> http::request::Builder {
+    let key = lists::key(plan);
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, service)
+        .header(header::AUTHORIZATION, format!("Bearer {key}"))
+}
+
+async fn send(mesh: &Mesh, vm: usize, req: Request<Body>) -> Result<Response<Bytes>> {
+    let address = mesh.vms[vm % mesh.vms.len()].daemon.caller_address();
+    http_client::send(address, req).await
+}
+
+/// Sends a consultation until the routes are there.
+async fn consult(mesh: &Mesh) -> Result<Echo> {
+    let deadline = Instant::now() + START_TIME;
+    loop {
+        let req = request("GET", "roll-consultation", "/entry/7", "clerks").body(body::empty())?;
+        let response = send(mesh, 0, req).await?;
+        if response.status().is_success() {
+            return Ok(serde_json::from_slice(response.body())?);
+        }
+        if Instant::now() > deadline {
+            return Err(format!("no consultation was answered: {response:?}").into());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Sends an order twice, through two daemons.
+async fn order(
+    mesh: &Mesh,
+    out: &mut impl Write,
+    what: &str,
+    plan: &str,
+    service: &str,
+) -> Result<bool> {
+    let key = format!("{plan}-order-1");
+    let mut answers = Vec::new();
+    for vm in [0, 3] {
+        let req = request("POST", service, "/orders", plan)
+            .header("idempotency-key", &key)
+            .body(body::full("one order"))?;
+        answers.push(send(mesh, vm, req).await?);
+    }
+    let runs = mesh
+        .runs
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .get(&key)
+        .copied()
+        .unwrap_or_default();
+    let same = answers
+        .iter()
+        .all(|answer| answer.status().is_success() && answer.body() == answers[0].body());
+    let seen = format!(
+        "sent twice, ran {runs} time(s), statuses {} and {}",
+        answers[0].status(),
+        answers[1].status()
+    );
+    report(out, what, same && runs == 1, &seen)
+}
+
+async fn upload(mesh: &Mesh, out: &mut impl Write) -> Result<bool> {
+    let req =
+        request("PUT", "records", "/ledgers/1", "ledgers").body(body::full(vec![7; UPLOAD]))?;
+    let response = send(mesh, 1, req).await?;
+    let echo: Echo = serde_json::from_slice(response.body())?;
+    let seen = format!("{} of {UPLOAD} bytes arrived", echo.received);
+    report(out, "ledger upload", echo.received == UPLOAD as u64, &seen)
+}
+
+async fn refusal(mesh: &Mesh, out: &mut impl Write) -> Result<bool> {
+    let req = request("GET", "issuance", "/", "clerks").body(body::empty())?;
+    let response = send(mesh, 2, req).await?;
+    let outcome = response.headers().get("anvilbeam-outcome");
+    let refused = response.status() == http::StatusCode::FORBIDDEN
+        && outcome.is_some_and(|outcome| outcome == "not-run");
+    let seen = format!("status {}", response.status());
+    report(out, "call without a grant", refused, &seen)
+}
+
+async fn move_traffic(mesh: &Mesh, out: &mut impl Write, notes: &mut impl Write) -> Result<bool> {
+    let target = &mesh.vms[1].server;
+    let started = Instant::now();
+    put(mesh, &lists::plans(), &lists::grants(&[target]), notes).await?;
+    let took = started.elapsed();
+    let mut moved = true;
+    for vm in 0..mesh.vms.len() {
+        let req = request("GET", "roll-consultation", "/entry/7", "clerks").body(body::empty())?;
+        let response = send(mesh, vm, req).await?;
+        let echo: Echo = serde_json::from_slice(response.body())?;
+        moved &= echo.server == *target;
+    }
+    let seen = format!(
+        "in force on {} daemons after {:.0} ms; all calls go to {target}",
+        mesh.vms.len(),
+        took.as_secs_f64() * 1000.0
+    );
+    report(out, "edit that moves traffic", moved, &seen)
+}
+
+/// Status of the mesh from the operators' port.
+pub(super) async fn status(mesh: &Mesh) -> Result<StatusAnswer> {
+    let req = Request::get(STATUS)
+        .header(header::HOST, "control")
+        .header(header::AUTHORIZATION, format!("Bearer {OPERATOR_TOKEN}"))
+        .body(body::empty())?;
+    let response = http_client::send(mesh.operators, req).await?;
+    if !response.status().is_success() {
+        return Err(format!("status: {}", response.status()).into());
+    }
+    Ok(serde_json::from_slice(response.body())?)
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,33 @@
+//! One HTTP/1 request on a connection of its own, for stand-ins, `dev` and tests.
+
+use {
+    crate::{
+        body::{self, Body, BoxError},
+        serve,
+    },
+    bytes::Bytes,
+    http::{Request, Response},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    std::net::SocketAddr,
+    tokio::net::TcpStream,
+};
+
+/// Largest answer in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Sends one request and reads the whole answer.
+///
+/// # Errors
+/// The connection failed, or the answer was cut or is larger than 64 MiB.
+pub async fn send(address: SocketAddr, req: Request<Body>) -> Result<Response<Bytes>, BoxError> {
+    let stream = TcpStream::connect(address).await?;
+    serve::tune(&stream);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let (parts, incoming) = sender.send_request(req).await?.into_parts();
+    let bytes = body::collect(body::boxed(incoming), MAX_ANSWER).await?;
+    drop(sender);
+    driver.await??;
+    Ok(Response::from_parts(parts, bytes))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,9 @@
 
 use {
     anvilbeam::{
+        dev,
         operator::{self, Exit},
-        options::{self, Parsed},
+        options::{self, Command, Parsed},
     },
     std::{
         env,
@@ -32,15 +33,15 @@
             return Exit::Usage;
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build();
+    let (mut out, mut notes) = (io::stdout(), io::stderr());
     match runtime {
-        Ok(runtime) => runtime.block_on(operator::run(
-            &options,
-            &mut io::stdout(),
-            &mut io::stderr(),
-        )),
+        Ok(runtime) => match options.command {
+            Command::Dev { check } => runtime.block_on(dev::run(check, &mut out, &mut notes)),
+            _ => runtime.block_on(operator::run(&options, &mut out, &mut notes)),
+        },
         Err(e) => {
             eprintln!("error: start the runtime: {e}\nnext: check the limits of the system");
             Exit::Failed
--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -6,14 +6,14 @@
         body::{self, Body},
         call::IDEMPOTENCY_KEY,
         error::{Error, Result},
+        http_client,
         model::ServerState,
         peer, serve,
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, Uri, header},
     http_body_util::BodyExt,
-    hyper::{body::Incoming, client::conn::http1},
-    hyper_util::rt::TokioIo,
+    hyper::body::Incoming,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{
@@ -24,7 +24,6 @@
         },
     },
     tokio::{
-        net::TcpStream,
         runtime::{Builder, Runtime},
         sync::Notify,
         time::{Duration, sleep},
@@ -184,18 +183,11 @@
     if state.draining.load(Ordering::Relaxed) {
         announcement.state = ServerState::Draining;
     }
-    let stream = TcpStream::connect(state.cfg.daemon).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::spawn(connection);
     let req = Request::post(ANNOUNCE_PATH)
         .header(header::HOST, state.cfg.daemon.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .body(body::full(serde_json::to_vec(&announcement)?))?;
-    let response = sender.send_request(req).await?;
-    let status = response.status();
-    drop(response.into_body().collect().await?);
-    drop(sender);
-    driver.await??;
+    let status = http_client::send(state.cfg.daemon, req).await?.status();
     if status != StatusCode::OK {
         return Err(format!("status {status}").into());
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,14 +6,13 @@
     anvilbeam::{
         announce::Announcement,
         body::{self, Body},
+        http_client,
         model::{Digest, ServerState},
         operator_api::{EDITS, EditRequest, STATUS, StatusAnswer},
         stand_in::{Echo, Runs, StandIn, StandInConfig},
     },
     bytes::Bytes,
     http::{HeaderMap, Request, StatusCode, header},
-    hyper::client::conn::http1,
-    hyper_util::rt::TokioIo,
     std::{
         fs,
         net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
@@ -26,7 +25,7 @@
         time::{Duration, Instant},
     },
     tempfile::TempDir,
-    tokio::{net::TcpStream, time::sleep},
+    tokio::time::sleep,
 };
 
 pub const MESH_TOKEN: &str = "mesh-token-of-the-tests";
@@ -386,14 +385,7 @@
 
 /// Sends one request on a connection of its own and reads the whole answer.
 pub async fn send(address: SocketAddr, req: Request<Body>) -> Result<Answer, body::BoxError> {
-    let stream = TcpStream::connect(address).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::spawn(connection);
-    let response = sender.send_request(req).await?;
-    let (parts, incoming) = response.into_parts();
-    let bytes = body::collect(body::boxed(incoming), 64 * 1024 * 1024).await?;
-    drop(sender);
-    driver.await??;
+    let (parts, bytes) = http_client::send(address, req).await?.into_parts();
     Ok(Answer {
         status: parts.status,
         headers: parts.headers,
@@ -410,12 +402,14 @@
     format!("plans:\n{}", names.iter().map(entry).collect::<String>())
 }
 
-/// Grants from `(plan, service, servers)`.
+/// Grants from `(plan, service, servers)`; no servers mean all.
 pub fn grants(entries: &[(&str, &str, &str)]) -> String {
     let entry = |(plan, service, servers): &(&str, &str, &str)| {
-        format!(
-            "- {{ plan: {plan}, service: {service}, servers: [{servers}], capacity: 1000, rank: urgent }}\n"
-        )
+        let servers = match *servers {
+            "" => String::new(),
+            servers => format!("servers: [{servers}], "),
+        };
+        format!("- {{ plan: {plan}, service: {service}, {servers}capacity: 1000, rank: urgent }}\n")
     };
     format!("grants:\n{}", entries.iter().map(entry).collect::<String>())
 }
