--- a/src/dev.rs
+++ b/src/dev.rs
@@ -42,9 +42,38 @@
 ];
 
 /// Result of a step of `dev`.
-type Result<T> = std::result::Result<T, BoxError>;
+pub type Result<T> = std::result::Result<T, BoxError>;
+
+impl Mesh {
+    /// Starts the mesh with its lists in force.
+    ///
+    /// # Errors
+    /// Any step that failed.
+    pub async fn start() -> Result<Self> {
+        let mesh = start().await?;
+        put(&mesh, &lists::plans(), &lists::grants(&[]), &mut Vec::new()).await?;
+        Ok(mesh)
+    }
+
+    /// Where the daemon at `vm` takes calls.
+    ///
+    /// # Panics
+    /// Panics when there are not that many daemons.
+    pub fn callers(&self, vm: usize) -> SocketAddr {
+        self.vms[vm].daemon.caller_address()
+    }
+
+    /// Where the backend server at `vm` takes calls.
+    ///
+    /// # Panics
+    /// Panics when there are not that many backend servers.
+    pub fn server(&self, vm: usize) -> SocketAddr {
+        self.vms[vm].stand_in.address()
+    }
+}
 
 /// A folder that is removed with its files.
+#[derive(Debug)]
 struct Folder(PathBuf);
 
 impl Drop for Folder {
@@ -56,14 +85,16 @@
 }
 
 /// A backend server and the daemon beside it.
+#[derive(Debug)]
 struct Vm {
     daemon: Daemon,
     server: String,
-    _stand_in: StandIn,
+    stand_in: StandIn,
 }
 
 /// The running mesh.
-struct Mesh {
+#[derive(Debug)]
+pub struct Mesh {
     operators: SocketAddr,
     vms: Vec<Vm>,
     runs: Runs,
@@ -171,7 +202,7 @@
     Ok(Vm {
         daemon,
         server,
-        _stand_in: stand_in,
+        stand_in,
     })
 }
 
