Add the reducers that share the capacity of a grant

Cause: the capacity of a grant holds over all daemons, without a message to a central process per call, and also while a region is cut off.

Change: `limits::Shares` splits a supply among children by reported demand, `limits::Relay` is both child and parent, `limits::Holder` lets calls through at a daemon, `limits::Bucket` is the token bucket. A share counts at the parent until the child has confirmed a later one or the lease has ended; all times count from the report that is answered. A relay confirms a lower share only once its own children hold no more. Children whose share is too small for a bucket are lent single credits.

Bound: rates never exceed the capacity C, bursts 0.4 C, credits in flight 0.1 C: at most 10.5 C + 1 calls in any window of 10 s.

Tests: random messages (lost, late, doubled) and restarts against the sums; a tree of 3 regions, 6 data centres and up to 300 daemons in virtual time; one scenario for each rule.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod admission;
 pub mod error;
+pub mod limits;
 pub mod model;
 pub mod wire;
--- /dev/null
+++ b/src/limits/tests/machine.rs
@@ -0,0 +1,324 @@
+//! Two levels of parents with lost, late and doubled messages and restarts.
+
+use {
+    super::{
+        super::{Amount, Answer, Child, Demand, Holder, Level, Relay, Share, Shares, Supply},
+        Window,
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
+    std::time::{Duration, Instant},
+};
+
+const RELAYS: usize = 2;
+const HOLDERS: usize = 4;
+const REGIONS: [&str; RELAYS] = ["0", "1"];
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// Calls ask at a daemon; those that are refused wait.
+    Calls {
+        holder: usize,
+        count: u32,
+    },
+    /// All that are due report, and their messages are under way.
+    Reports,
+    /// A message arrives; `kept` leaves a copy of it under way.
+    Deliver {
+        pick: usize,
+        kept: bool,
+    },
+    /// Some rounds of reports and answers go well, but for one daemon that is cut off.
+    Rounds {
+        count: u32,
+        cut: usize,
+    },
+    Lose {
+        pick: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+    RestartHolder {
+        holder: usize,
+    },
+    RestartRelay {
+        relay: usize,
+    },
+    RestartRoot,
+    /// A relay hears of the new root.
+    Attach {
+        relay: usize,
+    },
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = u32;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<u32> {
+        prop::sample::select(vec![1, 10, 100, 10_000]).boxed()
+    }
+
+    fn transitions(_: &u32) -> BoxedStrategy<Event> {
+        let pass = prop_oneof![8 => 1_u64..300, 1 => 300_u64..3_000, 1 => 9_000_u64..12_000];
+        prop_oneof![
+            20 => (0..HOLDERS, 1_u32..200)
+                .prop_map(|(holder, count)| Event::Calls { holder, count }),
+            20 => Just(Event::Reports),
+            20 => (any::<usize>(), any::<bool>())
+                .prop_map(|(pick, kept)| Event::Deliver { pick, kept }),
+            30 => (1_u32..8, 0..HOLDERS * 2)
+                .prop_map(|(count, cut)| Event::Rounds { count, cut }),
+            4 => any::<usize>().prop_map(|pick| Event::Lose { pick }),
+            30 => pass.prop_map(|ms| Event::Pass { ms }),
+            1 => (0..HOLDERS).prop_map(|holder| Event::RestartHolder { holder }),
+            1 => (0..RELAYS).prop_map(|relay| Event::RestartRelay { relay }),
+            1 => Just(Event::RestartRoot),
+            3 => (0..RELAYS).prop_map(|relay| Event::Attach { relay }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: u32, _: &Event) -> u32 {
+        state
+    }
+}
+
+/// Messages carry the run of the sender's parent, as a connection would.
+#[derive(Clone, Debug)]
+enum Message {
+    ToRoot(u64, Child, Demand),
+    ToRelay(u64, usize, Child, Demand),
+    FromRoot(u64, Child, Share),
+    FromRelay(u64, usize, Child, Share),
+}
+
+#[derive(Debug)]
+struct Sut {
+    capacity: u32,
+    now: Instant,
+    root: Shares,
+    root_run: u64,
+    known_root: [u64; RELAYS],
+    relays: Vec<(u64, Relay)>,
+    holders: Vec<(u64, Holder, u32)>,
+    messages: Vec<Message>,
+    window: Window,
+}
+
+impl Sut {
+    fn new(capacity: u32) -> Self {
+        let now = Instant::now();
+        let level = Level::regions(RELAYS as u64);
+        Self {
+            capacity,
+            now,
+            root: Shares::new(level, Supply::root(capacity), now),
+            root_run: 0,
+            known_root: [0; RELAYS],
+            relays: (0..RELAYS)
+                .map(|_| (0, Relay::new(Level::relay(), now)))
+                .collect(),
+            holders: (0..HOLDERS).map(|_| (0, Holder::new(now), 0)).collect(),
+            messages: Vec::new(),
+            window: Window::default(),
+        }
+    }
+
+    fn run(&mut self, event: &Event) {
+        match event {
+            Event::Calls { holder, count } => self.call(*holder, *count),
+            Event::Reports => self.reports(),
+            Event::Deliver { pick, kept } if !self.messages.is_empty() => {
+                let at = pick % self.messages.len();
+                let message = self.messages[at].clone();
+                if !kept {
+                    self.messages.remove(at);
+                }
+                self.deliver(message);
+            }
+            Event::Rounds { count, cut } => {
+                for _ in 0..*count {
+                    self.round(*cut);
+                }
+            }
+            Event::Lose { pick } if !self.messages.is_empty() => {
+                self.messages.remove(pick % self.messages.len());
+            }
+            Event::Deliver { .. } | Event::Lose { .. } => {}
+            Event::Pass { ms } => self.now += Duration::from_millis(*ms),
+            Event::RestartHolder { holder } => {
+                let run = self.holders[*holder].0 + 1;
+                self.holders[*holder] = (run, Holder::new(self.now), 0);
+            }
+            Event::RestartRelay { relay } => {
+                let run = self.relays[*relay].0 + 1;
+                self.relays[*relay] = (run, Relay::new(Level::relay(), self.now));
+                self.known_root[*relay] = self.root_run;
+                for holder in (0..HOLDERS).filter(|h| h % RELAYS == *relay) {
+                    self.holders[holder].1.detach(self.now);
+                }
+            }
+            Event::RestartRoot => {
+                self.root_run += 1;
+                let level = Level::regions(RELAYS as u64);
+                let supply = Supply::root(self.capacity);
+                self.root = Shares::restarted(level, supply, &REGIONS, self.now);
+            }
+            Event::Attach { relay } => {
+                if self.known_root[*relay] != self.root_run {
+                    self.known_root[*relay] = self.root_run;
+                    self.relays[*relay].1.detach(self.now);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, holder: usize, count: u32) {
+        for _ in 0..count {
+            let (_, state, waiting) = &mut self.holders[holder];
+            if state.try_take(self.now) {
+                self.window.note(self.now);
+            } else {
+                *waiting += 1;
+            }
+        }
+    }
+
+    fn reports(&mut self) {
+        let now = self.now;
+        for (at, (run, holder, waiting)) in self.holders.iter_mut().enumerate() {
+            if holder.report_due(*waiting, now) {
+                let demand = holder.report(*waiting, now);
+                let child = Child::new(&at.to_string(), *run);
+                let relay = at % RELAYS;
+                let parent = self.relays[relay].0;
+                self.messages
+                    .push(Message::ToRelay(parent, relay, child, demand));
+            }
+        }
+        for at in 0..RELAYS {
+            let answers = self.relays[at].1.tick(now);
+            self.answer(at, answers);
+            let (run, relay) = &mut self.relays[at];
+            if relay.report_due(now) {
+                let child = Child::new(&at.to_string(), *run);
+                let demand = relay.report(now);
+                self.messages
+                    .push(Message::ToRoot(self.known_root[at], child, demand));
+            }
+        }
+    }
+
+    fn round(&mut self, cut: usize) {
+        self.reports();
+        // To the root, back to the relays and on to the daemons.
+        for _ in 0..4 {
+            for message in std::mem::take(&mut self.messages) {
+                let lost = matches!(&message, Message::FromRelay(_, _, child, _)
+                    if child.name.parse() == Ok(cut));
+                if !lost {
+                    self.deliver(message);
+                }
+            }
+        }
+        self.now += Duration::from_millis(60);
+        self.check();
+    }
+
+    fn answer(&mut self, relay: usize, answers: Vec<Answer>) {
+        let run = self.relays[relay].0;
+        self.messages.extend(
+            answers
+                .into_iter()
+                .map(|(child, share)| Message::FromRelay(run, relay, child, share)),
+        );
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::ToRoot(run, child, demand) if run == self.root_run => {
+                let answers = self.root.report(&child, &demand, now);
+                self.messages.extend(
+                    answers
+                        .into_iter()
+                        .map(|(child, share)| Message::FromRoot(run, child, share)),
+                );
+            }
+            Message::ToRelay(run, at, child, demand) if run == self.relays[at].0 => {
+                let answers = self.relays[at].1.child_report(&child, &demand, now);
+                self.answer(at, answers);
+            }
+            Message::FromRoot(run, child, share) => {
+                let at: usize = child.name.parse().unwrap();
+                if self.relays[at].0 == child.incarnation && self.known_root[at] == run {
+                    let answers = self.relays[at].1.apply(&share, now);
+                    self.answer(at, answers);
+                }
+            }
+            Message::FromRelay(run, relay, child, share) if run == self.relays[relay].0 => {
+                let at: usize = child.name.parse().unwrap();
+                if self.holders[at].0 == child.incarnation {
+                    self.receive(at, &share);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn receive(&mut self, at: usize, share: &Share) {
+        let (_, holder, waiting) = &mut self.holders[at];
+        holder.apply(share, self.now);
+        while *waiting > 0 && holder.retry_take(self.now) {
+            *waiting -= 1;
+            self.window.note(self.now);
+        }
+    }
+
+    fn check(&self) {
+        let whole = Amount::of_grant(self.capacity);
+        let sum = |amounts: Vec<Amount>| amounts.into_iter().fold(Amount::default(), Amount::add);
+        let held = sum(self.holders.iter().map(|h| h.1.valid(self.now)).collect());
+        assert!(whole.covers(held), "daemons hold {held:?} of {whole:?}");
+        let relays = sum(self.relays.iter().map(|r| r.1.valid(self.now)).collect());
+        assert!(whole.covers(relays), "relays hold {relays:?} of {whole:?}");
+        self.window.check(self.capacity);
+    }
+}
+
+struct Machine;
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = Sut;
+    type Reference = Events;
+
+    fn init_test(ref_state: &u32) -> Sut {
+        Sut::new(*ref_state)
+    }
+
+    fn apply(mut state: Sut, _: &u32, transition: Event) -> Sut {
+        state.run(&transition);
+        state.check();
+        state
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(0x11A7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against valid shares that exceed the capacity together, and against more calls
+    /// in 10 s than the capacity allows, whatever happens to messages and processes.
+    #[test]
+    fn valid_shares_never_exceed_the_capacity(sequential 1..150 => Machine);
+}
