Keep the unknown parts of a region while an earlier relay's may be valid

Cause: a run of the random messages with 4000 cases failed with "daemons hold Amount { rate: 100727, burst: 32568 } of Amount { rate: 100000, burst: 40000 }": a relay started after its leader had been replaced and confirmed a share, and the new leader gave away the part of the region, although daemons still held their parts from the earlier relay.

Change: a report says whether all that an earlier run handed out has ended (10 s after the start). Without that, the new leader keeps the part for another 10 s after the confirmation.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -48,6 +48,8 @@
 pub const BURST: Duration = Duration::from_millis(400);
 /// Time for which a credit may be spent after it was lent.
 pub const CREDIT_LIFE: Duration = Duration::from_millis(100);
+/// Time for which a relay keeps the guaranteed part of a child that it cannot reach.
+pub const RELAY_HOLD: Duration = Duration::from_secs(10);
 /// Thousandths of a call in one call.
 pub const MILLI: u64 = 1_000;
 
@@ -114,6 +116,8 @@
     pub rate: u64,
     /// Calls that wait for a credit now.
     pub wants: u32,
+    /// Whether nothing handed out by an earlier run of this child can still be valid.
+    pub settled: bool,
 }
 
 /// Answer of a parent about one grant.
@@ -218,7 +222,7 @@
     /// that died must not keep its part.
     pub fn relay() -> Self {
         Self {
-            hold: Duration::from_secs(10),
+            hold: RELAY_HOLD,
             part_milli: 500,
             min_rate: 2 * MILLI,
         }
--- a/src/limits/holder.rs
+++ b/src/limits/holder.rs
@@ -224,6 +224,7 @@
             applied,
             rate: self.demand,
             wants,
+            settled: true,
         }
     }
 
--- a/src/limits/relay.rs
+++ b/src/limits/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Amount, Child, Demand, Level, REPORT_INTERVAL, Share, Shares, Supply,
+        Amount, Child, Demand, Level, RELAY_HOLD, REPORT_INTERVAL, Share, Shares, Supply,
         holder::{Lease, MIN_REPORT_GAP, is_step},
         shares::Answer,
     },
@@ -20,6 +20,7 @@
     /// Newest share that the children keep to.
     confirmed: u64,
     told: Demand,
+    started: Instant,
 }
 
 impl Relay {
@@ -39,7 +40,9 @@
                 applied: 0,
                 rate: 0,
                 wants: 0,
+                settled: false,
             },
+            started: now,
         }
     }
 
@@ -105,6 +108,7 @@
             applied: self.confirmed,
             rate: self.shares.demand(),
             wants: self.shares.wants(),
+            settled: now.saturating_duration_since(self.started) >= RELAY_HOLD,
         };
         self.told
     }
--- a/src/limits/shares.rs
+++ b/src/limits/shares.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Amount, Bucket, CREDIT_LIFE, Demand, LEASE, Level, MILLI, Share, Supply,
+        Amount, Bucket, CREDIT_LIFE, Demand, LEASE, Level, MILLI, RELAY_HOLD, Share, Supply,
         child::{Child, Record},
     },
     indexmap::IndexMap,
@@ -35,7 +35,7 @@
 ///
 /// let now = Instant::now();
 /// let mut shares = Shares::new(Level::relay(), Supply::root(1000), now);
-/// let demand = Demand { seq: 1, applied: 0, rate: 50_000, wants: 0 };
+/// let demand = Demand { seq: 1, applied: 0, rate: 50_000, wants: 0, settled: true };
 /// let answers = shares.report(&Child::new("daemon-1", 1), &demand, now);
 /// assert!(answers[0].1.amount.rate >= 980_000, "the only child gets nearly all");
 /// ```
@@ -144,7 +144,7 @@
             self.asking.push_back(child.clone());
         }
         if demand.applied > 0 {
-            self.drop_unknown(&child.name);
+            self.shorten_unknown(child, demand.settled, now);
         }
         self.recount(child, now);
         self.offer(child, now);
@@ -376,6 +376,16 @@
         }
     }
 
+    /// The child keeps to a share of this parent now. What an earlier run of it handed out may
+    /// still be valid for a while.
+    fn shorten_unknown(&mut self, child: &Child, settled: bool, now: Instant) {
+        if settled {
+            self.drop_unknown(&child.name);
+        } else if let Some((_, until)) = self.unknown.get_mut(&child.name) {
+            *until = (*until).min(now + RELAY_HOLD);
+        }
+    }
+
     fn drop_unknown(&mut self, name: &str) {
         if let Some((part, _)) = self.unknown.swap_remove(name) {
             self.committed = self.committed.minus(part);
--- a/src/limits/tests/rules.rs
+++ b/src/limits/tests/rules.rs
@@ -15,6 +15,7 @@
         applied: 0,
         rate,
         wants,
+        settled: true,
     }
 }
 
