--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod lists;
 pub mod logging;
 pub mod metrics;
+pub mod limits;
 pub mod model;
 pub mod operator;
 pub mod operator_api;
