Condemn only the suspect that was started alone

Cause: a bystander that ran alone, was cleared meanwhile by an answer on another server, and was still running when the true suspect crashed the server, was condemned in place of it. A run with PROPTEST_CASES=10000 of a_poison_request_crashes_two_servers found it at case 566: 'bystander 2 at 0'. Change: the condemned request is the only one under suspicion at the crash, and only if one of its runs was started as the only suspect. Conclusion: a_cleared_run_is_not_condemned fails before (left 0101.., right 0202..) and passes now; 100,000 cases of the property tests pass.

--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -191,11 +191,17 @@
             .extract_if(.., |_, run| run.server == *server)
             .map(|(_, run)| run)
             .collect();
-        let mut alone = ended.iter().filter(|run| run.alone);
-        let alone = alone.next().map(|run| run.fingerprint);
         let in_flight: IndexSet<_> = ended.iter().map(|run| run.fingerprint).collect();
         let is_suspect = |fp: &&Fingerprint| self.standing(**fp) == Standing::Suspect;
-        let condemned = alone.filter(|_| in_flight.iter().filter(is_suspect).count() == 1);
+        let suspects: Vec<_> = in_flight.iter().filter(is_suspect).copied().collect();
+        let is_alone = |fp: &Fingerprint| {
+            let mut runs = ended.iter();
+            runs.any(|run| run.alone && run.fingerprint == *fp)
+        };
+        let condemned = match suspects[..] {
+            [only] => Some(only).filter(is_alone),
+            _ => None,
+        };
         let mut crashes = Vec::with_capacity(in_flight.len());
         for (position, fingerprint) in in_flight.into_iter().enumerate() {
             // A report never splits records of one change; so one change must fit into a report.
--- a/src/suspects/tests.rs
+++ b/src/suspects/tests.rs
@@ -349,3 +349,27 @@
     let crashes = daemon.crashed(&server(0), now);
     assert!(crashes.iter().all(|crash| !crash.is_condemned));
 }
+
+/// Guards against a bystander that is condemned after it was cleared while it ran alone, when the
+/// true suspect starts beside it.
+#[test]
+fn a_cleared_run_is_not_condemned() {
+    let now = Instant::now();
+    let mut daemons = [(); 2].map(|()| Suspects::default());
+    let copy = daemons[1].started(fingerprint(1), &server(1));
+    for request in [1, 2] {
+        daemons[0].started(fingerprint(request), &server(0));
+    }
+    daemons[0].crashed(&server(0), now);
+    let crash = daemons[0].report(0, now);
+    daemons[1].merge(&crash, now);
+    daemons[0].started(fingerprint(1), &server(0));
+    daemons[1].finished(copy, Ending::Answered, now);
+    let clearing = daemons[1].report(0, now);
+    daemons[0].merge(&clearing, now);
+    daemons[0].started(fingerprint(2), &server(0));
+    let crashes = daemons[0].crashed(&server(0), now);
+    let condemned = crashes.iter().filter(|crash| crash.is_condemned);
+    let condemned: Vec<_> = condemned.map(|crash| crash.fingerprint).collect();
+    assert_eq!(condemned, [fingerprint(2)]);
+}
