Limit the effect of load reports in balance

Cause: reports counted in the comparison of two candidates, so on an idle daemon a server that reported full load got no calls at all: reports decided alone. Change: a report lowers the weight in the draw, by half at most. The policy tests number their calls, so that repeated runs do not repeat their random numbers.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -2,7 +2,7 @@
 //!
 //! Every pick must be followed by exactly one `outcome` with the returned choice. State is local to
 //! the daemon and follows from the outcomes seen here; what servers report about themselves only
-//! shifts a score by a bounded factor.
+//! lowers its share by a bounded factor.
 
 use {
     crate::{
@@ -120,7 +120,8 @@
 }
 
 impl Balancer {
-    /// Takes over the announced servers of all services of `snapshot`; call it after each swap.
+    /// Takes over the announced servers of all services of `snapshot`. After a change of
+    /// one service's endpoints, `sync_service` is enough.
     pub fn sync(&mut self, snapshot: &Snapshot, now: Instant) {
         let gone = |name: &&ServiceName| snapshot.endpoints(name).is_empty();
         let gone: Vec<_> = self.members.keys().filter(gone).cloned().collect();
@@ -246,7 +247,7 @@
                 self.scored.push(Scored {
                     at,
                     weight: health.weight(now),
-                    queue: health.queue(now),
+                    queue: health.queue(),
                     latency: health.expected_latency(now),
                 });
             }
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -44,7 +44,7 @@
 const PROBES: u32 = 3;
 /// Time for which a load report counts.
 const HINT_LIFE: Duration = Duration::from_secs(3);
-/// Largest change of the score by a load report.
+/// Part of the weight that a report of full load takes away.
 const HINT_FACTOR: f64 = 0.5;
 /// Limit of a retry-after hint, which comes from another process.
 const MAX_REFUSAL: Duration = Duration::from_secs(2);
@@ -162,27 +162,25 @@
         self.outstanding == 0 && self.ejected_until.is_some_and(|until| until <= now)
     }
 
-    /// Weight in the draw: grows during slow start, falls with failures.
+    /// Weight in the draw: grows during slow start, falls with failures and reported load.
     pub(super) fn weight(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.ramp_start);
         let ramp = age.as_secs_f64() / SLOW_START.as_secs_f64();
-        ramp.clamp(COLD_WEIGHT, 1.0) * self.reliability()
+        let load = self.hint.filter(|(_, until)| *until > now);
+        let load = load.map_or(0.0, |(load, _)| load * HINT_FACTOR);
+        ramp.clamp(COLD_WEIGHT, 1.0) * self.reliability() * (1.0 - load)
     }
 
     fn reliability(&self) -> f64 {
         (1.0 - self.failures).powi(4).max(MIN_RELIABILITY)
     }
 
-    /// Calls ahead of and including one more, longer for a server that reports load.
+    /// Calls ahead of and including one more.
     ///
-    /// Failures count in the weight only: counted here too, one failure would keep an idle
-    /// server from all comparisons it could win, and so from ever being judged.
-    pub(super) fn queue(&self, now: Instant) -> f64 {
-        let hint = match self.hint {
-            Some((load, until)) if until > now => 1.0 + HINT_FACTOR * load,
-            _ => 1.0,
-        };
-        f64::from(self.outstanding + 1) * hint
+    /// Failures and reports count in the weight only: counted here too, they would keep an idle
+    /// server from all comparisons, and so from ever being judged by its outcomes.
+    pub(super) fn queue(&self) -> f64 {
+        f64::from(self.outstanding + 1)
     }
 
     /// Seconds for one call, lower the longer the estimate has not been used.
--- a/src/balance/tests/policy.rs
+++ b/src/balance/tests/policy.rs
@@ -2,18 +2,18 @@
 
 use super::*;
 
-/// Calls per server out of `calls`, one each 10 ms, with the outcome and the milliseconds that
-/// `answer` gives for a server.
+/// Calls per server out of `calls`, one each 10 ms from `start`, with the outcome and the
+/// milliseconds that `answer` gives for a server.
 fn run(
     balancer: &mut Balancer,
     servers: &[Arc<Endpoint>],
     start: Instant,
-    calls: u64,
+    calls: std::ops::Range<u64>,
     answer: impl Fn(&ServerName) -> (Outcome, u64),
 ) -> BTreeMap<ServerName, u64> {
     let candidates = Candidates::new(&here(), servers);
     let mut counts = BTreeMap::new();
-    for call in 0..calls {
+    for call in calls {
         let now = start + Duration::from_millis(call * 10);
         let random = call.wrapping_mul(0x2545_f491_4f6c_dd1d);
         let choice = balancer.pick_from(&candidates, Rank::Normal, now, random, &[]);
@@ -49,7 +49,7 @@
     let mut balancer = synced(&servers, now);
     let liar = &servers[0].server;
     balancer.hint_load(liar, 0.0, now);
-    let counts = run(&mut balancer, &servers, now, 6000, |server| {
+    let counts = run(&mut balancer, &servers, now, 0..6000, |server| {
         if server == liar {
             (Outcome::Failed, 1)
         } else {
@@ -70,7 +70,7 @@
         let millis = if server == slow { 200 } else { 20 };
         (Outcome::Succeeded, millis)
     };
-    let counts = run(&mut balancer, &servers, now, 6000, answer);
+    let counts = run(&mut balancer, &servers, now, 0..6000, answer);
     assert!(counts[slow] < 120, "{counts:?}");
 }
 
@@ -85,7 +85,7 @@
         let millis = if server == slow { 20 } else { 2 };
         (Outcome::Succeeded, millis)
     };
-    let counts = run(&mut balancer, &servers, now, 6000, answer);
+    let counts = run(&mut balancer, &servers, now, 0..6000, answer);
     assert_eq!(balancer.ejected_until(slow), None);
     assert!(counts[slow] < 200, "{counts:?}");
 }
@@ -103,12 +103,36 @@
         (Outcome::Succeeded, millis)
     };
     for part in 0..60 {
-        let start = now + Duration::from_secs(part);
-        run(&mut balancer, &servers, start, 100, answer);
+        let calls = part * 100..(part + 1) * 100;
+        run(&mut balancer, &servers, now, calls, answer);
         assert_eq!(balancer.ejected(&service()), 0, "after {part} s");
     }
 }
 
+/// Guards against a load report that takes a healthy server out of traffic, or brings all to one.
+#[test]
+fn load_reports_shift_only_a_part_of_the_traffic() {
+    let now = Instant::now();
+    let servers = near(6);
+    let mut balancer = synced(&servers, now);
+    let mut counts = BTreeMap::new();
+    for part in 0..60 {
+        let start = now + Duration::from_secs(part);
+        for (n, server) in servers.iter().enumerate() {
+            let load = [1.0, 0.0, 0.5, 0.5, 0.5, 0.5][n];
+            balancer.hint_load(&server.server, load, start);
+        }
+        let healthy = |_: &ServerName| (Outcome::Succeeded, 20);
+        let calls = part * 100..(part + 1) * 100;
+        for (server, count) in run(&mut balancer, &servers, now, calls, healthy) {
+            *counts.entry(server).or_insert(0) += count;
+        }
+    }
+    let [full, idle] = [0, 1].map(|n| counts.get(&servers[n].server).copied().unwrap_or(0));
+    assert!((500..1000).contains(&full), "{counts:?}");
+    assert!((1000..1500).contains(&idle), "{counts:?}");
+}
+
 /// Guards against a server that stays out after it has recovered, and against ejections that do
 /// not grow.
 #[test]
@@ -124,17 +148,17 @@
             (Outcome::Succeeded, 20)
         }
     };
-    run(&mut balancer, &servers, now, 3000, fail);
+    run(&mut balancer, &servers, now, 0..3000, fail);
     let until = balancer.ejected_until(bad).expect("ejected");
     assert!(
         until > now + Duration::from_secs(35),
         "ejections do not grow"
     );
     let healthy = |_: &ServerName| (Outcome::Succeeded, 20);
-    run(&mut balancer, &servers, until, 1000, healthy);
+    run(&mut balancer, &servers, until, 0..1000, healthy);
     assert_eq!(balancer.ejected_until(bad), None);
     let later = until + Duration::from_secs(20);
-    let counts = run(&mut balancer, &servers, later, 3000, healthy);
+    let counts = run(&mut balancer, &servers, later, 0..3000, healthy);
     assert!(counts[bad] > 300, "{counts:?}");
 }
 
@@ -145,7 +169,7 @@
     let servers = near(6);
     let mut balancer = synced(&servers, now);
     let healthy = |_: &ServerName| (Outcome::Succeeded, 20);
-    run(&mut balancer, &servers, now, 1200, healthy);
+    run(&mut balancer, &servers, now, 0..1200, healthy);
     let mut restarted = servers.clone();
     let mut cold = Endpoint::clone(&servers[0]);
     cold.incarnation = 1;
@@ -154,8 +178,8 @@
     let start = now + Duration::from_secs(12);
     balancer.sync_service(&service(), &restarted, start);
     let share = |balancer: &mut Balancer, after: u64| {
-        let from = start + Duration::from_secs(after);
-        let counts = run(balancer, &restarted, from, 200, healthy);
+        let calls = after * 100..after * 100 + 200;
+        let counts = run(balancer, &restarted, start, calls, healthy);
         counts.get(cold).copied().unwrap_or(0)
     };
     let shares = [0, 4, 8, 20].map(|after| share(&mut balancer, after));
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -33,7 +33,7 @@
 const CLEARED_LIFE: Duration = Duration::from_mins(11);
 /// Time for which the end of a record is remembered, so that a late report does not revive it.
 const EXPIRED_LIFE: Duration = Duration::from_mins(1);
-/// Records kept; about 64 bytes each.
+/// Records kept; about 75 bytes each, 300 KB in all.
 pub const MAX_RECORDS: usize = 4096;
 /// Records in one report; about 40 bytes each.
 pub const MAX_REPORT: usize = 256;
