Compare servers across the data centres of a region

Cause: with one server per data centre, as in both organisations today, a slow server had no peers with a known latency and kept all its traffic. Change: one call in 100 goes to another data centre of the own region.

--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -25,6 +25,8 @@
     Lying,
     /// Takes ten times as long.
     Slow,
+    /// As `Slow`, with one server in each data centre; the network takes no time.
+    SlowAlone,
     /// Is new 20 s after the start and takes ten times as long for 5 s.
     Cold,
     /// One call in 50 takes 50 times as long.
@@ -36,13 +38,14 @@
 /// Name, number of servers with the fault, fault, calls per second.
 type Case = (&'static str, usize, Fault, f64);
 
-const CASES: [Case; 10] = [
+const CASES: [Case; 11] = [
     ("all good", 0, Fault::None, 200.0),
     ("1 of 6 lying", 1, Fault::Lying, 200.0),
     ("1 of 6 lying, quiet", 1, Fault::Lying, 10.0),
     ("4 of 6 lying", 4, Fault::Lying, 200.0),
     ("1 of 6 slow", 1, Fault::Slow, 200.0),
     ("1 of 6 slow, quiet", 1, Fault::Slow, 10.0),
+    ("1 of 6 slow, alone in DC", 1, Fault::SlowAlone, 10.0),
     ("1 of 6 cold", 1, Fault::Cold, 200.0),
     ("1 in 50 calls long", 6, Fault::LongCalls, 200.0),
     ("1 in 50 calls long, quiet", 6, Fault::LongCalls, 10.0),
@@ -145,7 +148,7 @@
     match case.2 {
         Fault::Lying => None,
         Fault::Noise if luck < 0.05 => None,
-        Fault::Slow => Some(normal * 10.0),
+        Fault::Slow | Fault::SlowAlone => Some(normal * 10.0),
         Fault::Cold if (30.0..35.0).contains(&now) => Some(normal * 10.0),
         Fault::LongCalls if luck < 0.02 => Some(normal * 50.0),
         _ => Some(normal),
@@ -154,7 +157,7 @@
 
 fn simulate(case: &Case, ours: bool) -> Figures {
     let origin = Instant::now();
-    let mut servers: Vec<_> = (0..SERVERS).map(|n| near(n, 1)).collect();
+    let mut servers: Vec<_> = (0..SERVERS).map(|n| server(case, n, 1)).collect();
     let mut balancer = Balancer::default();
     balancer.sync_service(&servers[0].service, &servers, origin);
     let mut rng = StdRng::seed_from_u64(SEED);
@@ -167,7 +170,7 @@
         let at = origin + Duration::from_secs_f64(now);
         figures.ejections += pending.settle(&mut balancer, origin, now);
         if case.2 == Fault::Cold && now >= 30.0 && servers[0].incarnation == 1 {
-            servers[0] = near(0, 2);
+            servers[0] = server(case, 0, 2);
             balancer.sync_service(&servers[0].service, &servers, at);
         }
         balancer.hint_load(&servers[0].server, 0.0, at);
@@ -204,12 +207,13 @@
     figures
 }
 
-/// Server `n` of the own data centre.
-fn near(n: usize, incarnation: u64) -> Arc<Endpoint> {
-    let mut near = endpoint(n * SERVICES * 8);
-    near.slots = SLOTS as u32;
-    near.incarnation = incarnation;
-    Arc::new(near)
+/// Server `n`, in the own data centre unless the case spreads the servers.
+fn server(case: &Case, n: usize, incarnation: u64) -> Arc<Endpoint> {
+    let data_centres = if case.2 == Fault::SlowAlone { 1 } else { 8 };
+    let mut server = endpoint(n * SERVICES * data_centres);
+    server.slots = SLOTS as u32;
+    server.incarnation = incarnation;
+    Arc::new(server)
 }
 
 /// Calls a chain of `depth` levels whose leaf always fails; returns whether the failure is marked.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,27 +7,25 @@
 use {
     crate::{
         model::{Endpoint, Rank, ServerName, ServiceName},
-        routes::{Candidates, Distance, Route, Snapshot},
+        routes::{Distance, Snapshot},
     },
-    draw::{Draws, Scored, draw},
+    draw::Scored,
     health::Health,
     indexmap::{IndexMap, IndexSet},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    strum::{Display, IntoEnumIterator},
+    strum::Display,
 };
 
 mod draw;
 mod health;
+mod pick;
 #[cfg(test)]
 mod tests;
 
-/// Share of the calls that one server under probing may get.
-pub const PROBE_SHARE: f64 = 0.05;
-/// Share of the calls that all servers under probing of one group may get.
-const ALL_PROBES_SHARE: f64 = 0.15;
+pub use pick::PROBE_SHARE;
 
 /// How a call ended, as far as it tells about the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,20 +84,6 @@
     ProbeFailed,
 }
 
-/// How willing a server is, the best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
-    Usable,
-    /// Own outstanding calls fill its slots.
-    Full,
-    /// It refused a call of this rank a moment ago.
-    Refusing,
-    /// Ejected or under probing.
-    Ejected,
-}
-
-const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
-
 /// State of the choice among backend servers.
 ///
 /// ```
@@ -176,108 +160,6 @@
         }
     }
 
-    /// Chooses a backend server for a call on `route` and counts the call as outstanding.
-    ///
-    /// `random` is a fresh random number; servers in `exclude` are not chosen. `None` means that
-    /// all candidates are excluded.
-    pub fn pick(
-        &mut self,
-        route: &Route<'_>,
-        now: Instant,
-        random: u64,
-        exclude: &[ServerName],
-    ) -> Option<Choice> {
-        self.pick_from(route.candidates, route.grant.rank, now, random, exclude)
-    }
-
-    /// As `pick`, with the parts of the route.
-    pub fn pick_from(
-        &mut self,
-        candidates: &Candidates,
-        rank: Rank,
-        now: Instant,
-        random: u64,
-        exclude: &[ServerName],
-    ) -> Option<Choice> {
-        let mut draws = Draws(random);
-        // Most calls end in the first round: the nearest group with a usable server.
-        for tier in TIERS {
-            for distance in Distance::iter() {
-                let group = candidates.group(distance);
-                self.gather(group, tier, rank, now, exclude);
-                let Some((at, probe)) = self.choose(tier, &mut draws) else {
-                    continue;
-                };
-                let endpoint = Arc::clone(&group[at]);
-                self.servers[&endpoint.server].started();
-                return Some(Choice {
-                    endpoint,
-                    distance,
-                    rank,
-                    probe,
-                });
-            }
-        }
-        None
-    }
-
-    /// Collects the servers of `group` in `tier`, and in the first tier those to be probed.
-    fn gather(
-        &mut self,
-        group: &[Arc<Endpoint>],
-        tier: Tier,
-        rank: Rank,
-        now: Instant,
-        exclude: &[ServerName],
-    ) {
-        self.scored.clear();
-        self.probing.clear();
-        for (at, endpoint) in group.iter().enumerate() {
-            if exclude.contains(&endpoint.server) {
-                continue;
-            }
-            if !self.servers.contains_key(&endpoint.server) {
-                self.adopt(endpoint, now);
-            }
-            let health = &self.servers[&endpoint.server];
-            if tier == Tier::Usable && health.wants_probe(now) {
-                self.probing.push(at);
-            }
-            if health.tier(rank, now) == tier {
-                self.scored.push(Scored {
-                    at,
-                    weight: health.weight(now),
-                    queue: health.queue(),
-                    latency: health.expected_latency(now),
-                });
-            }
-        }
-    }
-
-    /// Starts the state of a server that was picked before `sync` named it.
-    fn adopt(&mut self, endpoint: &Endpoint, now: Instant) {
-        let members = self.members.entry(endpoint.service.clone()).or_default();
-        members.insert(endpoint.server.clone());
-        let health = Health::new(endpoint, now);
-        self.servers.insert(endpoint.server.clone(), health);
-    }
-
-    /// Position in the group of the chosen server, and whether the call is a probe.
-    fn choose(&self, tier: Tier, draws: &mut Draws) -> Option<(usize, bool)> {
-        if !self.probing.is_empty() {
-            let share = PROBE_SHARE.min(ALL_PROBES_SHARE / self.probing.len() as f64);
-            let slot = (draws.unit() / share) as usize;
-            if let Some(at) = self.probing.get(slot) {
-                return Some((*at, true));
-            }
-        }
-        let first = draw(&self.scored, None, draws)?;
-        let better = draw(&self.scored, Some(first.at), draws)
-            .filter(|second| second.beats(&first))
-            .unwrap_or(first);
-        Some((better.at, tier == Tier::Ejected))
-    }
-
     /// Records how the call of `choice` ended and how long it took.
     ///
     /// An outcome of an earlier incarnation is ignored. Returns a change of the server's standing.
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -1,7 +1,7 @@
 //! What the daemon has seen of one backend server.
 
 use {
-    super::Tier,
+    super::pick::Tier,
     crate::model::{Endpoint, Rank},
     std::time::{Duration, Instant},
     strum::EnumCount,
--- /dev/null
+++ b/src/balance/pick.rs
@@ -0,0 +1,169 @@
+//! Choice of a server for one call.
+
+use {
+    super::{
+        Balancer, Choice,
+        draw::{Draws, Scored, draw},
+        health::Health,
+    },
+    crate::{
+        model::{Endpoint, Rank, ServerName},
+        routes::{Candidates, Distance, Route},
+    },
+    std::{sync::Arc, time::Instant},
+    strum::IntoEnumIterator,
+};
+
+/// Share of the calls that one server under probing may get.
+pub const PROBE_SHARE: f64 = 0.05;
+/// Share of the calls that all servers under probing of one group may get.
+const ALL_PROBES_SHARE: f64 = 0.15;
+
+/// Share of the calls that go to another data centre of the region though the own one has usable
+/// servers: else a slow server that is alone in its data centre has no known peers.
+const EXPLORE_SHARE: f64 = 0.01;
+
+/// How willing a server is, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Tier {
+    Usable,
+    /// Own outstanding calls fill its slots.
+    Full,
+    /// It refused a call of this rank a moment ago.
+    Refusing,
+    /// Ejected or under probing.
+    Ejected,
+}
+
+const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
+
+/// What a pick is made for.
+struct Call<'a> {
+    candidates: &'a Candidates,
+    rank: Rank,
+    now: Instant,
+    exclude: &'a [ServerName],
+}
+
+impl Balancer {
+    /// Chooses a backend server for a call on `route` and counts the call as outstanding.
+    ///
+    /// `random` is a fresh random number; servers in `exclude` are not chosen. `None` means that
+    /// all candidates are excluded.
+    pub fn pick(
+        &mut self,
+        route: &Route<'_>,
+        now: Instant,
+        random: u64,
+        exclude: &[ServerName],
+    ) -> Option<Choice> {
+        self.pick_from(route.candidates, route.grant.rank, now, random, exclude)
+    }
+
+    /// As `pick`, with the parts of the route.
+    pub fn pick_from(
+        &mut self,
+        candidates: &Candidates,
+        rank: Rank,
+        now: Instant,
+        random: u64,
+        exclude: &[ServerName],
+    ) -> Option<Choice> {
+        let call = Call {
+            candidates,
+            rank,
+            now,
+            exclude,
+        };
+        let mut draws = Draws(random);
+        if draws.unit() < EXPLORE_SHARE {
+            let near = Distance::OwnRegion;
+            let explored = self.pick_at(&call, Tier::Usable, near, &mut draws);
+            if explored.is_some() {
+                return explored;
+            }
+        }
+        // Most calls end in the first round: the nearest group with a usable server.
+        for tier in TIERS {
+            for distance in Distance::iter() {
+                let found = self.pick_at(&call, tier, distance, &mut draws);
+                if found.is_some() {
+                    return found;
+                }
+            }
+        }
+        None
+    }
+
+    /// Chooses among the servers of one group in one tier.
+    fn pick_at(
+        &mut self,
+        call: &Call<'_>,
+        tier: Tier,
+        distance: Distance,
+        draws: &mut Draws,
+    ) -> Option<Choice> {
+        let group = call.candidates.group(distance);
+        self.gather(group, tier, call);
+        let (at, probe) = self.choose(tier, draws)?;
+        let endpoint = Arc::clone(&group[at]);
+        self.servers[&endpoint.server].started();
+        Some(Choice {
+            endpoint,
+            distance,
+            rank: call.rank,
+            probe,
+        })
+    }
+
+    /// Collects the servers of `group` in `tier`, and in the first tier those to be probed.
+    fn gather(&mut self, group: &[Arc<Endpoint>], tier: Tier, call: &Call<'_>) {
+        let now = call.now;
+        self.scored.clear();
+        self.probing.clear();
+        for (at, endpoint) in group.iter().enumerate() {
+            if call.exclude.contains(&endpoint.server) {
+                continue;
+            }
+            if !self.servers.contains_key(&endpoint.server) {
+                self.adopt(endpoint, now);
+            }
+            let health = &self.servers[&endpoint.server];
+            if tier == Tier::Usable && health.wants_probe(now) {
+                self.probing.push(at);
+            }
+            if health.tier(call.rank, now) == tier {
+                self.scored.push(Scored {
+                    at,
+                    weight: health.weight(now),
+                    queue: health.queue(),
+                    latency: health.expected_latency(now),
+                });
+            }
+        }
+    }
+
+    /// Starts the state of a server that was picked before `sync` named it.
+    fn adopt(&mut self, endpoint: &Endpoint, now: Instant) {
+        let members = self.members.entry(endpoint.service.clone()).or_default();
+        members.insert(endpoint.server.clone());
+        let health = Health::new(endpoint, now);
+        self.servers.insert(endpoint.server.clone(), health);
+    }
+
+    /// Position in the group of the chosen server, and whether the call is a probe.
+    fn choose(&self, tier: Tier, draws: &mut Draws) -> Option<(usize, bool)> {
+        if !self.probing.is_empty() {
+            let share = PROBE_SHARE.min(ALL_PROBES_SHARE / self.probing.len() as f64);
+            let slot = (draws.unit() / share) as usize;
+            if let Some(at) = self.probing.get(slot) {
+                return Some((*at, true));
+            }
+        }
+        let first = draw(&self.scored, None, draws)?;
+        let better = draw(&self.scored, Some(first.at), draws)
+            .filter(|second| second.beats(&first))
+            .unwrap_or(first);
+        Some((better.at, tier == Tier::Ejected))
+    }
+}
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -2,7 +2,7 @@
     super::*,
     crate::{
         model::{DaemonName, DataCentre, Region, ServerState},
-        routes::Location,
+        routes::{Candidates, Location},
     },
     proptest::{prelude::*, test_runner::RngSeed},
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
--- a/src/balance/tests/policy.rs
+++ b/src/balance/tests/policy.rs
@@ -133,6 +133,24 @@
     assert!((1000..1500).contains(&idle), "{counts:?}");
 }
 
+/// Guards against a slow server that keeps its traffic because it is the only one of its data
+/// centre, so that its peers are not known, and against healthy calls that leave the data centre.
+#[test]
+fn a_slow_server_alone_in_its_data_centre_loses_its_traffic() {
+    let now = Instant::now();
+    let servers: Vec<_> = [0, 2, 3, 4, 5].map(|s| endpoint(s, 0, false)).to_vec();
+    let own = &servers[0].server;
+    let shares = [20, 250].map(|own_millis| {
+        let mut balancer = synced(&servers, now);
+        let answer = |server: &ServerName| {
+            let millis = if server == own { own_millis } else { 20 };
+            (Outcome::Succeeded, millis)
+        };
+        run(&mut balancer, &servers, now, 0..6000, answer)[own]
+    });
+    assert!(shares[0] > 5850 && shares[1] < 1000, "{shares:?}");
+}
+
 /// Guards against a server that stays out after it has recovered, and against ejections that do
 /// not grow.
 #[test]
