Ramp a cold server that is alone in its data centre

Cause: slow start weighs servers of one group only, so with one server per data centre a cold one got all calls of its data centre at once. At the start of a daemon all servers counted as cold.

--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -6,7 +6,7 @@
         balance::{Balancer, Change, Choice, Outcome},
         model::{Endpoint, Rank, ServerName},
         retry::{Body, Budget, Call, Cause, Decision, Failure, MAX_ATTEMPTS, decide},
-        routes::Candidates,
+        routes::{Candidates, Snapshot},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
@@ -149,7 +149,7 @@
         Fault::Lying => None,
         Fault::Noise if luck < 0.05 => None,
         Fault::Slow | Fault::SlowAlone => Some(normal * 10.0),
-        Fault::Cold if (30.0..35.0).contains(&now) => Some(normal * 10.0),
+        Fault::Cold if (20.0..25.0).contains(&now) => Some(normal * 10.0),
         Fault::LongCalls if luck < 0.02 => Some(normal * 50.0),
         _ => Some(normal),
     }
@@ -158,18 +158,19 @@
 fn simulate(case: &Case, ours: bool) -> Figures {
     let origin = Instant::now();
     let mut servers: Vec<_> = (0..SERVERS).map(|n| server(case, n, 1)).collect();
+    let announced = servers.iter().map(AsRef::as_ref);
+    let snapshot = Snapshot::build(Arc::default(), announced, here());
     let mut balancer = Balancer::default();
-    balancer.sync_service(&servers[0].service, &servers, origin);
+    balancer.sync(&snapshot, origin);
     let mut rng = StdRng::seed_from_u64(SEED);
     let mut free = [[0.0f64; SLOTS]; SERVERS];
     let mut pending = Pending::default();
     let mut figures = Figures::default();
     for call in 0..(case.3 * SIMULATED) as u64 {
-        // The servers have been known for the 10 s of slow start.
-        let now = 10.0 + call as f64 / case.3;
+        let now = call as f64 / case.3;
         let at = origin + Duration::from_secs_f64(now);
         figures.ejections += pending.settle(&mut balancer, origin, now);
-        if case.2 == Fault::Cold && now >= 30.0 && servers[0].incarnation == 1 {
+        if case.2 == Fault::Cold && now >= 20.0 && servers[0].incarnation == 1 {
             servers[0] = server(case, 0, 2);
             balancer.sync_service(&servers[0].service, &servers, at);
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -104,16 +104,19 @@
 }
 
 impl Balancer {
-    /// Takes over the announced servers of all services of `snapshot`. After a change of
-    /// one service's endpoints, `sync_service` is enough.
+    /// Takes over the announced servers of all services of `snapshot`. After a change of one
+    /// service's endpoints, `sync_service` is enough.
+    ///
+    /// Servers of the first snapshot were there before the daemon and need no slow start.
     pub fn sync(&mut self, snapshot: &Snapshot, now: Instant) {
+        let ramp_start = (!self.members.is_empty()).then_some(now);
         let gone = |name: &&ServiceName| snapshot.endpoints(name).is_empty();
         let gone: Vec<_> = self.members.keys().filter(gone).cloned().collect();
         for service in gone {
-            self.sync_service(&service, &[], now);
+            self.take_over(&service, &[], ramp_start, now);
         }
         for (service, endpoints) in snapshot.services() {
-            self.sync_service(service, endpoints, now);
+            self.take_over(service, endpoints, ramp_start, now);
         }
     }
 
@@ -126,6 +129,16 @@
         service: &ServiceName,
         endpoints: &[Arc<Endpoint>],
         now: Instant,
+    ) {
+        self.take_over(service, endpoints, Some(now), now);
+    }
+
+    fn take_over(
+        &mut self,
+        service: &ServiceName,
+        endpoints: &[Arc<Endpoint>],
+        ramp_start: Option<Instant>,
+        now: Instant,
     ) {
         let announced: IndexSet<_> = endpoints.iter().map(|e| e.server.clone()).collect();
         let previous = self.members.swap_remove(service).unwrap_or_default();
@@ -134,7 +147,7 @@
         }
         for endpoint in endpoints {
             let entry = self.servers.entry(endpoint.server.clone());
-            let health = entry.or_insert_with(|| Health::new(endpoint, now));
+            let health = entry.or_insert_with(|| Health::new(endpoint, ramp_start, now));
             health.refresh(endpoint, now);
         }
         if !announced.is_empty() {
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -54,7 +54,8 @@
 pub(super) struct Health {
     incarnation: u64,
     slots: u32,
-    ramp_start: Instant,
+    /// Start of slow start; `None` if the server was there before the daemon.
+    ramp_start: Option<Instant>,
     outstanding: u32,
     /// Seconds, with the time of the last sample.
     latency: Option<(f64, Instant)>,
@@ -70,11 +71,11 @@
 }
 
 impl Health {
-    pub(super) fn new(endpoint: &Endpoint, now: Instant) -> Self {
+    pub(super) fn new(endpoint: &Endpoint, ramp_start: Option<Instant>, now: Instant) -> Self {
         Self {
             incarnation: endpoint.incarnation,
             slots: endpoint.slots,
-            ramp_start: now,
+            ramp_start,
             outstanding: 0,
             latency: None,
             samples: 0,
@@ -95,7 +96,7 @@
         if self.incarnation != endpoint.incarnation {
             *self = Self {
                 repeats: self.repeats,
-                ..Self::new(endpoint, now)
+                ..Self::new(endpoint, Some(now), now)
             };
         }
         self.slots = endpoint.slots;
@@ -164,11 +165,19 @@
 
     /// Weight in the draw: grows during slow start, falls with failures and reported load.
     pub(super) fn weight(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.ramp_start);
-        let ramp = age.as_secs_f64() / SLOW_START.as_secs_f64();
         let load = self.hint.filter(|(_, until)| *until > now);
         let load = load.map_or(0.0, |(load, _)| load * HINT_FACTOR);
-        ramp.clamp(COLD_WEIGHT, 1.0) * self.reliability() * (1.0 - load)
+        self.ramp(now) * self.reliability() * (1.0 - load)
+    }
+
+    /// Share of the full weight during slow start.
+    pub(super) fn ramp(&self, now: Instant) -> f64 {
+        let Some(start) = self.ramp_start else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(start);
+        let ramp = age.as_secs_f64() / SLOW_START.as_secs_f64();
+        ramp.clamp(COLD_WEIGHT, 1.0)
     }
 
     fn reliability(&self) -> f64 {
@@ -227,7 +236,7 @@
         }
         self.release();
         self.failures = 0.0;
-        self.ramp_start = now;
+        self.ramp_start = Some(now);
         self.readmitted = now;
         true
     }
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -76,11 +76,10 @@
             exclude,
         };
         let mut draws = Draws(random);
-        if draws.unit() < EXPLORE_SHARE {
-            let near = Distance::OwnRegion;
-            let explored = self.pick_at(&call, Tier::Usable, near, &mut draws);
-            if explored.is_some() {
-                return explored;
+        if self.leaves_data_centre(&call, &mut draws) {
+            let region = self.pick_at(&call, Tier::Usable, Distance::OwnRegion, &mut draws);
+            if region.is_some() {
+                return region;
             }
         }
         // Most calls end in the first round: the nearest group with a usable server.
@@ -95,6 +94,18 @@
         None
     }
 
+    /// Whether a call tries the other data centres of the region first: a small share always does,
+    /// and more while the servers of the own data centre are cold, or slow start would not hold
+    /// where a server is alone in its data centre.
+    fn leaves_data_centre(&self, call: &Call<'_>, draws: &mut Draws) -> bool {
+        let own = call.candidates.group(Distance::OwnDataCentre).iter();
+        let known = own.filter_map(|endpoint| self.servers.get(&endpoint.server));
+        let warmest = known
+            .map(|health| health.ramp(call.now))
+            .fold(0.0, f64::max);
+        draws.unit() >= warmest * (1.0 - EXPLORE_SHARE)
+    }
+
     /// Chooses among the servers of one group in one tier.
     fn pick_at(
         &mut self,
@@ -147,7 +158,7 @@
     fn adopt(&mut self, endpoint: &Endpoint, now: Instant) {
         let members = self.members.entry(endpoint.service.clone()).or_default();
         members.insert(endpoint.server.clone());
-        let health = Health::new(endpoint, now);
+        let health = Health::new(endpoint, Some(now), now);
         self.servers.insert(endpoint.server.clone(), health);
     }
 
--- a/src/balance/tests/policy.rs
+++ b/src/balance/tests/policy.rs
@@ -35,9 +35,12 @@
     numbered.collect()
 }
 
+/// A balancer of a daemon that starts when `servers` have been there for long.
 fn synced(servers: &[Arc<Endpoint>], now: Instant) -> Balancer {
+    let announced = servers.iter().map(AsRef::as_ref);
+    let snapshot = Snapshot::build(Arc::default(), announced, here());
     let mut balancer = Balancer::default();
-    balancer.sync_service(&service(), servers, now);
+    balancer.sync(&snapshot, now);
     balancer
 }
 
@@ -151,6 +154,27 @@
     assert!(shares[0] > 5850 && shares[1] < 1000, "{shares:?}");
 }
 
+/// Guards against a cold server that gets its full share because it is alone in its data centre,
+/// and against slow start of servers that were there before the daemon.
+#[test]
+fn a_cold_server_alone_in_its_data_centre_is_ramped() {
+    let now = Instant::now();
+    let mut servers: Vec<_> = [0, 2, 3, 4, 5].map(|s| endpoint(s, 0, false)).to_vec();
+    let own = servers[0].server.clone();
+    let mut balancer = synced(&servers, now);
+    let share = |balancer: &mut Balancer, servers: &[Arc<Endpoint>], start: u64| {
+        let healthy = |_: &ServerName| (Outcome::Succeeded, 20);
+        let counts = run(balancer, servers, now, start..start + 200, healthy);
+        counts.get(&own).copied().unwrap_or(0)
+    };
+    let at_start = share(&mut balancer, &servers, 0);
+    servers[0] = endpoint(0, 1, false);
+    balancer.sync_service(&service(), &servers, now + Duration::from_secs(10));
+    let shares = [1000, 1400, 1800, 2200].map(|at| share(&mut balancer, &servers, at));
+    assert!(at_start > 190 && shares[3] > 190, "{at_start}, {shares:?}");
+    assert!(shares[0] < 60 && shares[1] < 140, "{shares:?}");
+}
+
 /// Guards against a server that stays out after it has recovered, and against ejections that do
 /// not grow.
 #[test]
