Explore the region early in balance

Cause: the first call to another data centre came after 100 calls on average, and until then a slow server alone in its data centre kept its traffic. Change: one call in 10 explores while no latency of the region is known, one in 200 afterwards, which stays out of the 99th percentile.

--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -20,8 +20,11 @@
 const ALL_PROBES_SHARE: f64 = 0.15;
 
 /// Share of the calls that go to another data centre of the region though the own one has usable
-/// servers: else a slow server that is alone in its data centre has no known peers.
-const EXPLORE_SHARE: f64 = 0.01;
+/// servers: else a slow server that is alone in its data centre has no known peers. Below one call
+/// in 100, so that the longer way does not show in the 99th percentile.
+const EXPLORE_SHARE: f64 = 0.005;
+/// The same while no latency of the region is known.
+const FIRST_EXPLORE_SHARE: f64 = 0.1;
 
 /// How willing a server is, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -98,12 +101,24 @@
     /// and more while the servers of the own data centre are cold, or slow start would not hold
     /// where a server is alone in its data centre.
     fn leaves_data_centre(&self, call: &Call<'_>, draws: &mut Draws) -> bool {
-        let own = call.candidates.group(Distance::OwnDataCentre).iter();
-        let known = own.filter_map(|endpoint| self.servers.get(&endpoint.server));
-        let warmest = known
-            .map(|health| health.ramp(call.now))
-            .fold(0.0, f64::max);
-        draws.unit() >= warmest * (1.0 - EXPLORE_SHARE)
+        let known = |distance| {
+            let group = call.candidates.group(distance).iter();
+            group.filter_map(|endpoint| self.servers.get(&endpoint.server))
+        };
+        let own = known(Distance::OwnDataCentre).map(|health| health.ramp(call.now));
+        let warmest = own.fold(0.0, f64::max);
+        let position = draws.unit();
+        // Most calls stay, whatever is known of the region.
+        if position < warmest * (1.0 - FIRST_EXPLORE_SHARE) {
+            return false;
+        }
+        let mut region = known(Distance::OwnRegion);
+        let share = if region.any(|health| health.latency().is_some()) {
+            EXPLORE_SHARE
+        } else {
+            FIRST_EXPLORE_SHARE
+        };
+        position >= warmest * (1.0 - share)
     }
 
     /// Chooses among the servers of one group in one tier.
