Quote the faulty text in errors of lists and settings

Cause: the parser's messages spoke to developers ("use Option<String>") and did not name the value; 33 comment lines in a row exceeded its buffer. Change: messages for users, with the text at the position; settings name the key of the line and leave the text out where a token may stand; comments are not buffered. Conclusion: errors can be read without the parser's documentation.

--- a/src/lists/parse.rs
+++ b/src/lists/parse.rs
@@ -114,7 +114,7 @@
                 line: fault.line,
                 column: fault.column,
             };
-            found.push(place.problem(list, fault.reason));
+            found.push(place.problem(list, fault.to_string()));
         })
         .ok()
 }
--- a/src/lists/tests.rs
+++ b/src/lists/tests.rs
@@ -89,6 +89,16 @@
     assert_eq!(found.len(), 1, "{found:?}");
 }
 
+/// Guards against the parser's limit of 32 buffered comment lines.
+#[test]
+fn long_comments_are_accepted() {
+    let comment = "# text\n".repeat(200);
+    let plans = format!(
+        "{comment}plans:\n{comment}- name: depot\n{comment}  key_hashes: []\n{comment}  home_region: x\n{comment}"
+    );
+    assert_eq!(check(&plans, "grants: []").unwrap().plans.len(), 1);
+}
+
 /// Guards against parsing a text of any size.
 #[test]
 fn oversized_text_is_refused_before_parsing() {
--- a/src/logging/tests.rs
+++ b/src/logging/tests.rs
@@ -1,12 +1,12 @@
 //! Tests of the log lines.
 
 use {
-    super::{format_line, timestamp},
+    super::{format_line, start, timestamp},
     crate::{
         events::{self, Event},
-        settings::LogFormat,
+        settings::{Log, LogFormat},
     },
-    log::{Level, Record},
+    log::{Level, LevelFilter, Record},
     std::time::{Duration, UNIX_EPOCH},
 };
 
@@ -54,3 +54,15 @@
     let value: serde_json::Value = serde_json::from_str(&text).unwrap();
     assert_eq!(value["message"], "event=\"\n");
 }
+
+/// Guards against a second start that panics or silently replaces the first.
+#[test]
+fn logging_starts_once() {
+    let log = Log {
+        level: LevelFilter::Off,
+        ..Log::default()
+    };
+    start(&log).unwrap();
+    let e = start(&log).unwrap_err().to_string();
+    assert!(e.starts_with("log: "), "{e}");
+}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -216,7 +216,7 @@
     out: &mut impl Write,
 ) -> Outcome {
     let answer = client.post_once(operator_api::MEMBERS, request).await?;
-    if answer.status == StatusCode::CONFLICT || answer.status == StatusCode::UNPROCESSABLE_ENTITY {
+    if answer.status == StatusCode::CONFLICT {
         let advice = "run `anvilbeam members list`; one change must be complete before the next";
         return Err(Failure::new(Exit::Conflict, answer.error().reason, advice));
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -119,10 +119,7 @@
     text: &str,
     finish: impl FnOnce(&mut T, &Path) -> std::result::Result<(), Wrong>,
 ) -> Result<T> {
-    let mut settings = yaml::parse(text).map_err(|fault| Error::Invalid {
-        place: format!("{}:{}:{}", path.display(), fault.line, fault.column),
-        reason: fault.reason,
-    })?;
+    let mut settings = yaml::parse(text).map_err(|fault| refused(path, text, fault))?;
     // Paths in the file are relative to the file, so that a folder of settings can be moved.
     let folder = path.parent().unwrap_or(Path::new(""));
     finish(&mut settings, folder).map_err(|wrong| Error::Invalid {
@@ -162,6 +159,29 @@
     text.lines().position(is_key).map(|index| index + 1)
 }
 
+fn refused(path: &Path, text: &str, mut fault: yaml::Fault) -> Error {
+    let index = usize::try_from(fault.line.saturating_sub(1)).unwrap_or(usize::MAX);
+    let line = text.lines().nth(index).unwrap_or_default();
+    // The error goes to the log, where no token may stand.
+    if line.contains("token") {
+        fault.found = None;
+    }
+    let place = format!("{}:{}:{}", path.display(), fault.line, fault.column);
+    // The parser places a missing key at another key, and names the missing one itself.
+    let key = key_of(line).filter(|_| !fault.reason.contains("missing field"));
+    Error::Invalid {
+        place: key.map_or(place.clone(), |key| format!("{place}: {key}")),
+        reason: fault.to_string(),
+    }
+}
+
+/// The key at the start of a line.
+fn key_of(line: &str) -> Option<&str> {
+    let (key, _) = line.trim_start_matches([' ', '-']).split_once(':')?;
+    let is_key = key.chars().all(|c| c.is_ascii_alphanumeric() || c == '_');
+    (is_key && !key.is_empty()).then_some(key)
+}
+
 /// Takes the token from `token` or from the file that `file` names.
 fn take_token(
     token: &mut Option<Secret>,
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -68,10 +68,13 @@
 #[test]
 fn errors_name_file_line_and_key() {
     let e = daemon("default_timeout: 500ms", "default_timeout: 500");
-    assert!(e.starts_with("d.yaml:10:18: "), "{e}");
+    assert!(e.starts_with("d.yaml:10:18: default_timeout: "), "{e}");
     assert!(e.contains("\"500\" is not a duration"), "{e}");
     let e = daemon("log:", "logs:");
-    assert!(e.starts_with("d.yaml:11:1: ") && e.contains("logs"), "{e}");
+    assert!(
+        e.starts_with("d.yaml:11:1: logs: ") && e.contains("logs"),
+        "{e}"
+    );
     let e = daemon("level: debug", "level: loud");
     assert!(e.contains("level \"loud\" is not"), "{e}");
     let e = daemon("[127.0.0.1:7000]", "[]");
@@ -81,6 +84,19 @@
     );
 }
 
+/// Guards against a token in the message about its line.
+#[test]
+fn errors_do_not_quote_the_token() {
+    let e = daemon(
+        "mesh_token: 0123456789abcdef",
+        "mesh_token: [0123456789abcdef]",
+    );
+    assert!(e.starts_with("d.yaml:9:13: mesh_token: "), "{e}");
+    assert!(!e.contains("01234"), "{e}");
+    let e = daemon("caller_address: 127.0.0.1:0", "caller_address: here");
+    assert!(e.ends_with(", at \"here\""), "{e}");
+}
+
 /// Guards against daemons that start with settings that cannot work.
 #[test]
 fn wrong_combinations_of_a_daemon_are_refused() {
--- a/src/yaml.rs
+++ b/src/yaml.rs
@@ -2,9 +2,15 @@
 
 use {
     serde::{Serialize, de::DeserializeOwned},
-    serde_saphyr::{MergeKeyPolicy, Options, RenderOptions, SerializeError, SnippetMode},
+    serde_saphyr::{
+        MergeKeyPolicy, Options, RenderOptions, SerializeError, SnippetMode, UserMessageFormatter,
+    },
+    std::fmt,
 };
 
+/// Characters of the text that a message quotes at most.
+const MAX_EXCERPT: usize = 40;
+
 /// A syntax error, or a value that does not have the type of its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -14,6 +20,17 @@
     pub column: u64,
     /// What is wrong.
     pub reason: String,
+    /// The text at the position, which may be secret.
+    pub found: Option<String>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.found {
+            Some(found) => write!(f, "{}, at {found:?}", self.reason),
+            None => f.write_str(&self.reason),
+        }
+    }
 }
 
 /// Parses one document. Aliases and merge keys are refused, since a short text could expand to a
@@ -40,8 +57,10 @@
             max_documents: 1,
         },
         merge_keys: MergeKeyPolicy::Error,
+        // The parser buffers at most 32 comment lines; a list may explain itself at more length.
+        emit_comments: false,
     };
-    serde_saphyr::from_str_with_options(text, options).map_err(|e| fault(&e))
+    serde_saphyr::from_str_with_options(text, options).map_err(|e| fault(text, &e))
 }
 
 /// Writes `value` as YAML.
@@ -52,21 +71,31 @@
     serde_saphyr::to_string(value)
 }
 
-fn fault(e: &serde_saphyr::Error) -> Fault {
-    let mut options = RenderOptions::default();
+fn fault(text: &str, e: &serde_saphyr::Error) -> Fault {
+    let mut options = RenderOptions::new(&UserMessageFormatter);
     options.snippets = SnippetMode::Off;
-    let text = e.render_with_options(options);
+    let message = e.render_with_options(options);
     let (line, column) = e.location().map_or((0, 0), |at| (at.line(), at.column()));
     let suffix = format!(" at line {line}, column {column}");
     let prefix = format!("line {line} column {column}: ");
-    let reason = text
+    let reason = message
         .strip_suffix(&suffix)
-        .or_else(|| text.strip_prefix(&prefix))
-        .unwrap_or(&text)
-        .to_owned();
+        .or_else(|| message.strip_prefix(&prefix))
+        .unwrap_or(&message);
     Fault {
         line,
         column,
-        reason,
+        reason: reason.to_owned(),
+        found: excerpt(text, line, column),
     }
 }
+
+/// What stands at a position, up to the end of its line.
+fn excerpt(text: &str, line: u64, column: u64) -> Option<String> {
+    let line = usize::try_from(line).ok()?.checked_sub(1)?;
+    let column = usize::try_from(column).ok()?.checked_sub(1)?;
+    let rest = text.lines().nth(line)?.chars().skip(column);
+    let found: String = rest.take(MAX_EXCERPT).collect();
+    let found = found.trim();
+    (!found.is_empty()).then(|| found.to_owned())
+}
