Subscribe again after a gap in an endpoint set, and bound reports

Cause: a child that reported a gap kept its stream, so its parent took the missing update for delivered. A report could carry more than one message holds when an interim parent forwards many daemons.

Change: a gap leads to a new subscription with the positions held.

--- /dev/null
+++ b/examples/distribution_cost/main.rs
@@ -0,0 +1,320 @@
+//! Measures what the distribution of versions and endpoints costs, on the real code.
+//!
+//! Run with `cargo run --release --example distribution_cost`.
+
+mod herd;
+
+use {
+    anvilbeam::{
+        endpoints::{Directory, EndpointDelta, Epoch, OwnSet, Stamp},
+        model::{Config, Digest, Endpoint, Grant, Plan, Rank, ServerState, Version},
+        relays::{DataCentreSummary, Member, MemberReport, Report, Role, Summary, Update},
+        versions::{Change, ConfigDelta, ConfigStore, split},
+        wire,
+    },
+    std::{
+        hint::black_box,
+        time::{Duration, Instant},
+    },
+};
+
+const EDITS_PER_DAY: f64 = 3_700.0;
+const RESTARTS_PER_DAY: f64 = 890.0;
+const DAY: f64 = 86_400.0;
+const DATA_CENTRES: usize = 8;
+
+fn main() {
+    versions();
+    let restart = endpoint_sets();
+    traffic(restart);
+    let full = store_of(5_000);
+    let serve = micros(|| wire::encode(&full.delta_since(Version(0))));
+    herd::reconnect("a data centre, full copies", 325, serve);
+    let answer = micros(|| wire::encode(&full.delta_since(full.version())));
+    herd::reconnect("the fleet, attach answers", 2_600, answer.max(50.0));
+}
+
+/// Runs `f` for about 0.2 s and returns the mean time in microseconds.
+fn micros<T>(mut f: impl FnMut() -> T) -> f64 {
+    let start = Instant::now();
+    let mut runs = 0_u32;
+    while start.elapsed() < Duration::from_millis(200) {
+        black_box(f());
+        runs += 1;
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(runs)
+}
+
+fn plan(n: usize) -> Plan {
+    Plan {
+        name: format!("customer-plan-{n:05}").as_str().into(),
+        key_hashes: vec![
+            Digest::of(&n.to_le_bytes()),
+            Digest::of(&(!n).to_le_bytes()),
+        ],
+        home_region: "kumamoto".into(),
+    }
+}
+
+fn grant(n: usize, capacity: u32) -> Grant {
+    Grant {
+        plan: plan(n).name,
+        service: format!("service-{:03}", n % 280).as_str().into(),
+        servers: (0..3)
+            .map(|k| format!("server-{:04}", n % 860 + k).as_str().into())
+            .collect(),
+        capacity,
+        rank: Rank::Normal,
+    }
+}
+
+fn store_of(grants: usize) -> ConfigStore {
+    let mut store = ConfigStore::with_config(Config::default());
+    let change = Change {
+        plans: (0..grants).map(plan).collect(),
+        grants: (0..grants).map(|n| grant(n, 1)).collect(),
+        ..Change::default()
+    };
+    store.edit(&change).expect("the plans and grants are valid");
+    store
+}
+
+/// Makes `versions` versions that each change one grant.
+fn edit(store: &mut ConfigStore, grants: usize, versions: usize) {
+    for n in 0..versions {
+        // A stride that visits all grants in no particular order.
+        let grants = vec![grant(n * 7_919 % grants, 2 + n as u32)];
+        store
+            .edit(&Change {
+                grants,
+                ..Change::default()
+            })
+            .expect("the grant is valid");
+    }
+}
+
+fn size(delta: ConfigDelta) -> usize {
+    let parts = split(delta).expect("the delta fits into parts");
+    parts
+        .iter()
+        .map(|part| {
+            wire::encode(part)
+                .expect("a part fits into a message")
+                .len()
+        })
+        .sum()
+}
+
+fn versions() {
+    println!(
+        "config: plans and grants, versions missed, bytes, make us, encode us, decode us, apply us, records"
+    );
+    for grants in [500, 2_000, 5_000] {
+        for missed in [1, 100, 1_000] {
+            let mut control = store_of(grants);
+            let mut child = ConfigStore::new();
+            let first = control
+                .delta_since(Version(0))
+                .expect("the store is not empty");
+            child.apply(&first).expect("the copy is intact");
+            edit(&mut control, grants, missed);
+            row(grants, &missed.to_string(), &control, &child);
+        }
+        row(grants, "all", &store_of(grants), &ConfigStore::new());
+        digests(grants);
+        memory(grants);
+    }
+}
+
+fn row(grants: usize, missed: &str, control: &ConfigStore, child: &ConfigStore) {
+    let make = || {
+        control
+            .delta_since(child.version())
+            .expect("the child is behind")
+    };
+    let delta = make();
+    let buf = wire::encode(&delta).expect("the delta fits into a message");
+    let encode = micros(|| wire::encode(&delta));
+    let decode = micros(|| wire::decode::<ConfigDelta>(&buf));
+    // A reader holds the old snapshot, so each apply copies the configuration.
+    let copy = micros(|| child.clone());
+    let apply = micros(|| child.clone().apply(&delta).expect("the delta is intact")) - copy;
+    let records = delta.change.len();
+    let (bytes, make) = (size(delta), micros(make));
+    println!(
+        "{grants:>6} {missed:>6} {bytes:>8} {make:>8.0} {encode:>8.0} {decode:>8.0} {apply:>8.0} {records:>6}"
+    );
+}
+
+fn digests(grants: usize) {
+    let store = store_of(grants);
+    let incremental = micros(|| store.digest());
+    let sum = micros(|| anvilbeam::versions::digest_of(store.config()));
+    let full = micros(|| {
+        let cfg = bincode::config::standard();
+        let buf = bincode::serde::encode_to_vec(&**store.config(), cfg).expect("it can be encoded");
+        Digest::of(&buf)
+    });
+    println!(
+        "{grants:>6} digest: kept sum {incremental:.1} us, sum over all records {sum:.0} us, hash over all bytes {full:.0} us"
+    );
+}
+
+fn resident() -> f64 {
+    const PAGE: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0.0) * PAGE
+}
+
+fn memory(grants: usize) {
+    const COPIES: usize = 40;
+    let buf =
+        wire::encode(&store_of(grants).delta_since(Version(0))).expect("it fits into a message");
+    let before = resident();
+    let copy = || {
+        let delta = wire::decode::<Option<ConfigDelta>>(&buf).expect("it was just encoded");
+        let mut store = ConfigStore::new();
+        store
+            .apply(&delta.expect("the store is not empty"))
+            .expect("the copy is intact");
+        store
+    };
+    let stores: Vec<_> = (0..COPIES).map(|_| copy()).collect();
+    let each = (resident() - before) / COPIES as f64;
+    println!("{grants:>6} memory of one store: {:.2} MB", each / 1e6);
+    drop(stores);
+}
+
+fn endpoint(n: usize, data_centre: usize) -> Endpoint {
+    Endpoint {
+        server: format!("server-{n:04}").as_str().into(),
+        service: format!("service-{:03}", n % 280).as_str().into(),
+        daemon: format!("daemon-{n:04}").as_str().into(),
+        address: ([10, data_centre as u8, (n / 256) as u8, n as u8], 7_000).into(),
+        data_centre: format!("dc-{data_centre}").as_str().into(),
+        region: format!("region-{}", data_centre / 4).as_str().into(),
+        slots: 20,
+        state: ServerState::Serving,
+        incarnation: 1 << 40,
+    }
+}
+
+fn report(own: &mut OwnSet, endpoint: &Endpoint, number: u64, now: Instant) {
+    let stamp = Stamp {
+        incarnation: 1,
+        number,
+    };
+    own.report(&endpoint.daemon, stamp, std::slice::from_ref(endpoint), now)
+        .expect("the endpoint belongs to the set");
+}
+
+/// Returns the bytes of the delta of one changed endpoint.
+fn endpoint_sets() -> usize {
+    println!(
+        "endpoints: number in one set, delta bytes, full bytes, make full us, apply full us, apply delta us"
+    );
+    let now = Instant::now();
+    let mut one = 0;
+    for number in [100, 1_000, 2_600] {
+        let mut own = OwnSet::new("dc-0".into(), Epoch::granted(3, 12), now);
+        (0..number).for_each(|n| report(&mut own, &endpoint(n, 0), 1, now));
+        let full = own
+            .delta_since(Epoch::default(), 0)
+            .expect("the set is not empty");
+        let position = own.position();
+        let mut directory = Directory::default();
+        directory.apply(&full, now).expect("the set is newer");
+        let mut changed = endpoint(number / 2, 0);
+        changed.state = ServerState::Draining;
+        report(&mut own, &changed, 2, now);
+        let delta = own
+            .delta_since(position.epoch, position.seq)
+            .expect("an endpoint has changed");
+        let bytes = |delta: &EndpointDelta| {
+            wire::encode(delta)
+                .expect("a set fits into a message")
+                .len()
+        };
+        one = bytes(&delta);
+        let make = micros(|| own.delta_since(Epoch::default(), 0));
+        let apply = micros(|| Directory::default().apply(&full, now));
+        let copy = micros(|| directory.clone());
+        let step = micros(|| directory.clone().apply(&delta, now)) - copy;
+        println!(
+            "{number:>6} {one:>6} {:>8} {make:>8.0} {apply:>8.0} {step:>8.1}",
+            bytes(&full)
+        );
+    }
+    one
+}
+
+fn traffic(restart: usize) {
+    let grants = 5_000;
+    let mut control = store_of(grants);
+    let version = control.version();
+    edit(&mut control, grants, 1);
+    let delta = control.delta_since(version).expect("a grant has changed");
+    let edit = size(delta);
+    let now = Instant::now();
+    let position =
+        |n: usize| OwnSet::new(endpoint(0, n).data_centre, Epoch::granted(3, 12), now).position();
+    let positions = (0..DATA_CENTRES).map(position).collect();
+    let frame = Update {
+        stream: 1 << 33,
+        number: 100_000,
+        detached_ms: 0,
+        config: None,
+        sets: vec![],
+        positions: Some(positions),
+    };
+    let beat = wire::encode_frame(&frame).expect("a heartbeat fits").len();
+    let Endpoint {
+        daemon,
+        address,
+        data_centre,
+        region,
+        ..
+    } = endpoint(7, 0);
+    let mut summary = Summary::default();
+    summary.add(&DataCentreSummary::of_daemon(
+        &daemon,
+        &data_centre,
+        version,
+        None,
+    ));
+    let stamp = Stamp {
+        incarnation: 1 << 40,
+        number: 100_000,
+    };
+    let members = vec![MemberReport {
+        daemon: daemon.clone(),
+        stamp,
+        endpoints: vec![endpoint(7, 0)],
+    }];
+    let member = Member {
+        daemon,
+        address,
+        data_centre,
+        region,
+    };
+    let report = Report {
+        member,
+        role: Role::Leaf,
+        stream: 1 << 33,
+        seen: 100_000,
+        version,
+        members,
+        sets: vec![],
+        summary,
+    };
+    let up = wire::encode_frame(&report).expect("a report fits").len();
+    // Each change also carries a frame. A restart removes an endpoint and adds it again.
+    let frame = 40.0;
+    let edits = (edit as f64 + frame) * EDITS_PER_DAY / DAY;
+    let restarts = 2.0 * (restart as f64 + frame) * RESTARTS_PER_DAY / DAY;
+    println!(
+        "one daemon: edits {edits:.1} B/s, restarts {restarts:.1} B/s, heartbeats {beat} B/s, down {:.0} B/s, reports up {up} B/s",
+        edits + restarts + beat as f64
+    );
+}
--- a/src/relays/uplink/link.rs
+++ b/src/relays/uplink/link.rs
@@ -9,7 +9,7 @@
         Effect, Uplink,
     },
     crate::{
-        endpoints::{Changed, EndpointDelta, Position},
+        endpoints::{Changed, EndpointDelta, Position, SetError},
         model::{DaemonName, Version},
         versions::{ApplyError, ConfigDelta},
     },
@@ -260,17 +260,24 @@
 
     fn take_sets(&mut self, now: Instant, sets: &[EndpointDelta], out: &mut Vec<Effect>) {
         let mut changed = Changed::default();
+        let mut gap = false;
         for delta in sets {
-            // A delta that is stale or has a gap is answered by the positions of the next
-            // subscription or report.
-            if let Ok(part) = self.directory.apply(delta, now) {
-                changed.upserts.extend(part.upserts);
-                changed.removed.extend(part.removed);
+            match self.directory.apply(delta, now) {
+                Ok(part) => {
+                    changed.upserts.extend(part.upserts);
+                    changed.removed.extend(part.removed);
+                }
+                // A newer owner's set is held already, or the set can't be taken at all.
+                Err(e) => gap |= matches!(e, SetError::Gap { .. }),
             }
             if let Some(positions) = self.link.as_mut().and_then(|link| link.positions.as_mut()) {
                 note(positions, delta);
             }
         }
+        if gap {
+            // The subscription names the positions held, so the parent sends what is missing.
+            self.resubscribe(now, self.store.version(), out);
+        }
         if changed != Changed::default() {
             out.push(Effect::PublishEndpoints(changed));
         }
--- a/src/relays/uplink/mod.rs
+++ b/src/relays/uplink/mod.rs
@@ -10,7 +10,7 @@
     self::{asking::Asking, interim::Peers, link::Link},
     super::{Children, FailedParent, HEARTBEAT, Member, MemberReport, Role, Subscribe},
     crate::{
-        endpoints::{Directory, Epoch, OwnSet, Stamp},
+        endpoints::{Directory, Epoch, MAX_REPORTED, OwnSet, Stamp},
         model::{Config, DaemonName, Endpoint, Version},
         versions::{ConfigStore, DeltaPart, Parts},
     },
@@ -170,6 +170,13 @@
             Event::Members(members) => self.members = members.into_iter().collect(),
             Event::Endpoints(endpoints) => {
                 self.endpoints = endpoints;
+                if self.endpoints.len() > MAX_REPORTED {
+                    let count = self.endpoints.len();
+                    self.reason = Some(format!(
+                        "{count} endpoints exceed the limit of {MAX_REPORTED}"
+                    ));
+                    self.endpoints.truncate(MAX_REPORTED);
+                }
                 self.next_report = now;
                 self.report_own(now);
             }
--- a/src/relays/uplink/sets.rs
+++ b/src/relays/uplink/sets.rs
@@ -8,7 +8,7 @@
         Effect, Uplink,
     },
     crate::{
-        endpoints::{Changed, EndpointDelta, Epoch, OwnSet, TAKEOVER_LEASE},
+        endpoints::{Changed, EndpointDelta, Epoch, MAX_ENDPOINTS, OwnSet, TAKEOVER_LEASE},
         model::Version,
     },
     std::time::{Duration, Instant},
@@ -131,10 +131,17 @@
             stamp,
             endpoints: self.endpoints.clone(),
         };
-        let forwarded = std::mem::take(&mut self.forwarded);
-        std::iter::once(mine)
-            .chain(forwarded.into_values())
-            .collect()
+        // Bounds the report to one message; the rest follows with the next one.
+        let mut endpoints = mine.endpoints.len();
+        let mut out = vec![mine];
+        while let Some((_, member)) = self.forwarded.last() {
+            endpoints += member.endpoints.len();
+            if endpoints > MAX_ENDPOINTS {
+                break;
+            }
+            out.extend(self.forwarded.pop().map(|(_, member)| member));
+        }
+        out
     }
 
     /// The sets that the parent lacks. Only relays send them: a leaf knows no set first.
@@ -149,7 +156,7 @@
         let mut endpoints = 0;
         sets.retain(|set| {
             endpoints += set.upserts.len() + set.removed.len();
-            endpoints <= crate::endpoints::MAX_ENDPOINTS
+            endpoints <= MAX_ENDPOINTS
         });
         for set in &sets {
             note(positions, set);
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -252,6 +252,16 @@
         behind.is_empty(),
         "daemons {behind:?} hold {held:?} instead of {newest} 7 s after the last fault"
     );
+    // The takeover lease of a relay that was replaced within the 7 s must end as well.
+    run(tree, CONVERGED);
+    let alive: Vec<_> = tree.running().map(|(n, _)| n).collect();
+    for at in &alive {
+        assert_eq!(
+            tree.known(*at),
+            alive,
+            "daemon {at} knows other endpoints than those alive"
+        );
+    }
 }
 
 fn settled(seed: u64) -> Tree {
