--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod settings;
 pub mod stand_in;
 pub mod suspects;
+pub mod relays;
 pub mod versions;
 pub mod wal;
 pub mod wire;
