Distribute versions and endpoint sets through the tree of relays

Cause: each daemon had its own stream from control, so the load of the source grew with the fleet, and a relay's own routes missed the endpoint sets that its children reported. Change: the control leader serves region relays only; daemons carry out the effects of their uplink's state machine. A relay publishes the endpoint sets of its children to its own routes as well. A refused upload is read for a second, so that its caller gets the refusal.

--- a/src/body.rs
+++ b/src/body.rs
@@ -15,7 +15,7 @@
     },
     tokio::{
         sync::mpsc,
-        time::{Duration, Sleep, sleep_until},
+        time::{Duration, Sleep, sleep_until, timeout_at},
     },
 };
 
@@ -191,6 +191,14 @@
     }
 }
 
+/// Reads and drops the rest of a refused request's body until `deadline`, so that a caller that is
+/// still sending gets the refusal instead of a broken connection.
+pub async fn discard(mut body: Body, deadline: Instant) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that goes on sending is cut off.
+    let _cut_off = timeout_at(deadline.into(), read).await;
+}
+
 /// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
 mod identity;
 mod operators;
 mod replication;
-mod reports;
+mod tree;
 
 use {
     crate::{
@@ -31,9 +31,10 @@
 };
 
 pub use {
-    config::{ConfigReplica, FLOOR_PATH, Floor, REPORT_PATH, Report},
+    config::ConfigReplica,
     identity::{IDENTITY_PATH, Identity},
     replication::RAFT_PATH,
+    tree::ControlTree,
 };
 
 /// Time that a shutdown gives to requests in flight.
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -190,10 +190,12 @@
 
 fn announced(replica: &ConfigReplica) -> Announced {
     let mut announced = Announced::new();
-    for endpoint in replica.hub.content().directory.iter() {
-        let servers = announced.entry(endpoint.service.clone()).or_default();
-        servers.insert(endpoint.server.clone());
-    }
+    replica.tree.directory(|directory| {
+        for endpoint in directory.iter() {
+            let servers = announced.entry(endpoint.service.clone()).or_default();
+            servers.insert(endpoint.server.clone());
+        }
+    });
     announced
 }
 
@@ -352,7 +354,7 @@
         version: cfg.version.0,
         leader: leader(&replica),
         members: members(&replica),
-        data_centres: replica.reports().status(cfg.version),
+        data_centres: replica.tree.status(),
     };
     Ok(api::json(StatusCode::OK, &answer))
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,20 +8,19 @@
 mod owner;
 pub mod shared;
 pub mod state;
-mod uplink;
+mod tree;
 
 use {
-    self::{event::Event, shared::Shared, uplink::Uplink},
+    self::{event::Event, shared::Shared, tree::Tree},
     crate::{
         body::Body,
         error::{Error, Result},
         events::Event as LogEvent,
-        hub::{Content, Hub, SUBSCRIBE_PATH, Subscribe},
         log_event, peer,
         serve::{self, Server},
         settings,
     },
-    http::{Request, Response, StatusCode},
+    http::{Request, Response},
     hyper::body::Incoming,
     std::{
         net::SocketAddr,
@@ -71,7 +70,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     shared: Arc<Shared>,
-    uplink: Arc<Uplink>,
+    tree: Arc<Tree>,
     callers: Server,
     local: Server,
     peer: Server,
@@ -91,11 +90,10 @@
         let advertised = cfg.advertise.unwrap_or(peer_address);
         let token = cfg.token().to_owned();
         let shared = Shared::new(cfg, advertised)?;
-        let hub = Hub::new(Content::default());
-        let uplink = Uplink::new(Arc::clone(&shared), Arc::clone(&hub));
+        let tree = Tree::new(Arc::clone(&shared));
         let callers = serve_callers(&shared, listeners.callers);
         let local = serve_local(&shared, listeners.local);
-        let peer = serve_peers(&shared, &hub, listeners.peer, &token)?;
+        let peer = serve_peers(&shared, &tree, listeners.peer, &token)?;
         log_event!(
             LogEvent::Started,
             program = "anvilbeam-daemon",
@@ -105,13 +103,13 @@
             peer_address = peer.address(),
         );
         let tasks = vec![
-            tokio::spawn(Arc::clone(&uplink).follow()),
-            tokio::spawn(Arc::clone(&uplink).report_forever()),
+            tokio::spawn(Arc::clone(&tree).tick_forever()),
+            tokio::spawn(Arc::clone(&tree).announce_forever()),
             tokio::spawn(tick_forever(Arc::clone(&shared))),
         ];
         Ok(Self {
             shared,
-            uplink,
+            tree,
             callers,
             local,
             peer,
@@ -139,7 +137,7 @@
     pub async fn stop(self) -> bool {
         log_event!(LogEvent::Stopping, name = self.shared.cfg.name);
         self.shared.dispatch(None, Event::Drain);
-        self.uplink.report().await;
+        self.tree.announce();
         sleep(DRAIN_NOTICE).await;
         let deadline = Instant::now() + SHUTDOWN_TIME;
         let callers = self.callers.shutdown(deadline).await;
@@ -178,30 +176,25 @@
 
 fn serve_peers(
     shared: &Arc<Shared>,
-    hub: &Arc<Hub>,
+    tree: &Arc<Tree>,
     listener: TcpListener,
     token: &str,
 ) -> Result<Server> {
-    let (shared, hub) = (Arc::clone(shared), Arc::clone(hub));
+    let (shared, tree) = (Arc::clone(shared), Arc::clone(tree));
     peer::serve_peers(listener, token, move |req| {
-        let (shared, hub) = (Arc::clone(&shared), Arc::clone(&hub));
-        async move { answer_peer(shared, hub, req).await }
+        let (shared, tree) = (Arc::clone(&shared), Arc::clone(&tree));
+        async move { answer_peer(shared, tree, req).await }
     })
 }
 
-async fn answer_peer(shared: Arc<Shared>, hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
+async fn answer_peer(
+    shared: Arc<Shared>,
+    tree: Arc<Tree>,
+    req: Request<Incoming>,
+) -> Response<Body> {
     // Proxied calls keep their own path, so a header tells them from messages.
     if req.headers().contains_key(crate::call::PLAN) {
         return owner::handle_peer(shared, req).await;
     }
-    match req.uri().path() {
-        SUBSCRIBE_PATH => match peer::read_message::<Subscribe>(req).await {
-            Ok(subscribe) => hub.open(subscribe),
-            Err(e) => {
-                log::warn!("request of a peer refused: {e}");
-                peer::status(StatusCode::BAD_REQUEST)
-            }
-        },
-        _ => peer::status(StatusCode::NOT_FOUND),
-    }
+    tree.answer(req).await
 }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -19,9 +19,15 @@
     bytes::Bytes,
     http::{Request, Response, request::Parts},
     hyper::body::{Body as _, Incoming},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
+/// Longest time for which the body of a refused request is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Body of a request, as far as it can be sent again.
 pub(super) enum Replay {
     Whole(Bytes),
@@ -72,7 +78,10 @@
     let streamed = !is_small(&incoming);
     let (call, choice) = match admit(&shared, id, &parts, streamed, now) {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(&shared, id, None, &refusal),
+        Err(refusal) => {
+            body::discard(body::boxed(incoming), now + DISCARD_TIME).await;
+            return refuse(&shared, id, None, &refusal);
+        }
     };
     match Replay::read(&parts, incoming).await {
         Ok(replay) => {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -6,9 +6,17 @@
         state::State,
     },
     crate::{
-        backend::Backend, balance::Change, claim_client::ClaimGroup, error::Result,
-        events::Event as LogEvent, log_event, metrics::Metrics, model::Endpoint, peer::Client,
-        refusal::Refusal, settings,
+        backend::Backend,
+        balance::Change,
+        claim_client::ClaimGroup,
+        error::Result,
+        events::Event as LogEvent,
+        log_event,
+        metrics::Metrics,
+        model::{Endpoint, Region, ServerState, Version},
+        peer::Client,
+        refusal::Refusal,
+        settings,
     },
     indexmap::IndexMap,
     std::{
@@ -147,6 +155,12 @@
         }
     }
 
+    /// Version in force, if any.
+    pub fn in_force(&self) -> Option<Version> {
+        let state = self.state();
+        state.snapshot().map(|snapshot| snapshot.config().version)
+    }
+
     /// The own backend server as other daemons see it.
     pub fn own_endpoint(&self) -> Option<Endpoint> {
         let state = self.state();
@@ -161,7 +175,7 @@
             region: self.cfg.region.clone(),
             slots: announcement.slots,
             state: if state.is_draining() {
-                crate::model::ServerState::Draining
+                ServerState::Draining
             } else {
                 announcement.state
             },
@@ -171,7 +185,7 @@
 }
 
 fn claim_groups(
-    claims: &IndexMap<crate::model::Region, Vec<SocketAddr>>,
+    claims: &IndexMap<Region, Vec<SocketAddr>>,
     client: &Client,
 ) -> HashMap<String, ClaimGroup> {
     claims
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -104,8 +104,7 @@
             Event::Announced(announcement) => self.announced(announcement, now),
             Event::ServerGone { incarnation } => self.server_gone(incarnation, now),
             Event::Routed(snapshot) => {
-                self.balancer.sync(&snapshot, now);
-                self.snapshot = Some(snapshot);
+                self.swap(snapshot, now);
                 Vec::new()
             }
             Event::Drain => {
@@ -118,6 +117,15 @@
         }
     }
 
+    fn swap(&mut self, snapshot: Arc<Snapshot>, now: Instant) {
+        let held = self.snapshot.as_ref().map(|held| held.config().version);
+        if held > Some(snapshot.config().version) {
+            return;
+        }
+        self.balancer.sync(&snapshot, now);
+        self.snapshot = Some(snapshot);
+    }
+
     fn route(&mut self, id: CallId, head: &Head<'_>, now: Instant, random: u64) -> Effect {
         match self.choose(head, now, random) {
             Ok((call, choice)) => {
--- /dev/null
+++ b/src/daemon/tree.rs
@@ -0,0 +1,502 @@
+//! The daemon in the distribution tree: carries out the effects of its uplink's state machine.
+
+use {
+    super::{event::Event as CallEvent, shared::Shared},
+    crate::{
+        body::Body,
+        endpoints::Changed,
+        error::Result,
+        events::Event as LogEvent,
+        log_event,
+        metrics::{Direction, Link},
+        model::{DaemonName, ServiceName, Version},
+        peer,
+        relays::{Attach, AttachReply, Effect, Event, Member, Report, Subscribe, Uplink},
+        routes::{Location, Snapshot},
+        tree_wire::{
+            ATTACH_PATH, AttachAnswer, ChildStreams, FETCH_PATH, Frame, REPORT_PATH,
+            SUBSCRIBE_PATH, VERSION_PATH, VersionAnswer,
+        },
+        versions::DeltaPart,
+        wire,
+    },
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    indexmap::{IndexMap, IndexSet},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        task::JoinHandle,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// Interval at which the state machine learns that time passed.
+const TICK: Duration = Duration::from_millis(100);
+/// Longest wait for an answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time without a frame; the state machine gives up a silent parent earlier.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// One daemon in the distribution tree.
+pub struct Tree {
+    shared: Arc<Shared>,
+    uplink: Mutex<Uplink>,
+    children: ChildStreams,
+    /// Tasks that read the streams from parents, by stream.
+    parents: Mutex<IndexMap<u64, (SocketAddr, JoinHandle<()>)>>,
+    /// Bytes of children that the metrics hold already.
+    counted: AtomicU64,
+}
+
+impl std::fmt::Debug for Tree {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Tree")
+            .field("shared", &self.shared)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Tree {
+    /// The place of a daemon that starts.
+    pub fn new(shared: Arc<Shared>) -> Arc<Self> {
+        let cfg = &shared.cfg;
+        let member = Member {
+            daemon: cfg.name.clone(),
+            address: shared.advertised,
+            data_centre: cfg.data_centre.clone(),
+            region: cfg.region.clone(),
+        };
+        let started = SystemTime::now().duration_since(UNIX_EPOCH);
+        // Seconds keep the stream numbers, which are derived from it, within 64 bits.
+        let incarnation = started.map_or(1, |since| since.as_secs());
+        let controls = cfg.control.len() as u32;
+        let uplink = Uplink::new(member, incarnation, controls, Instant::now());
+        Arc::new(Self {
+            uplink: Mutex::new(uplink),
+            children: ChildStreams::default(),
+            parents: Mutex::default(),
+            counted: AtomicU64::new(0),
+            shared,
+        })
+    }
+
+    /// Tells the state machine of time for as long as the daemon runs.
+    pub async fn tick_forever(self: Arc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.step(Event::Tick);
+            let sent = self.children.sent();
+            let before = self.counted.swap(sent, Ordering::Relaxed);
+            let metrics = &self.shared.metrics;
+            metrics.control_bytes(Link::Children, Direction::Out, sent.saturating_sub(before));
+        }
+    }
+
+    /// Passes changes of the own backend server on for as long as the daemon runs.
+    pub async fn announce_forever(self: Arc<Self>) {
+        loop {
+            self.shared.report.notified().await;
+            self.announce();
+        }
+    }
+
+    /// Passes the own backend server on.
+    pub fn announce(self: &Arc<Self>) {
+        let endpoints = self.shared.own_endpoint().into_iter().collect();
+        self.step(Event::Endpoints(endpoints));
+        // A report is due at once after a change.
+        self.step(Event::Tick);
+    }
+
+    /// A peer was seen with a version that is newer than the own one.
+    pub fn saw_version(self: &Arc<Self>, peer: &DaemonName, version: Version) {
+        self.step(Event::PeerVersion {
+            peer: peer.clone(),
+            version: Some(version),
+        });
+    }
+
+    fn uplink(&self) -> MutexGuard<'_, Uplink> {
+        self.uplink.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn step(self: &Arc<Self>, event: Event) {
+        let mut uplink = self.uplink();
+        let effects = uplink.step(Instant::now(), rand::random(), event);
+        // Under the lock, so that routes are swapped in the order of their versions.
+        self.swap_routes(&uplink, &effects);
+        drop(uplink);
+        let mut members_changed = false;
+        for effect in effects {
+            members_changed |= matches!(effect, Effect::PublishEndpoints(_));
+            self.execute(effect);
+        }
+        if members_changed {
+            self.update_members();
+        }
+    }
+
+    fn update_members(self: &Arc<Self>) {
+        let own = &self.shared.cfg;
+        let members: IndexMap<DaemonName, SocketAddr> = {
+            let uplink = self.uplink();
+            let endpoints = uplink.directory().of_data_centre(&own.data_centre);
+            endpoints
+                .filter(|endpoint| endpoint.daemon != own.name)
+                .map(|endpoint| (endpoint.daemon.clone(), endpoint.address))
+                .collect()
+        };
+        let members = members.into_iter().collect();
+        self.uplink()
+            .step(Instant::now(), rand::random(), Event::Members(members));
+    }
+
+    /// Swaps the routes as a whole after a new version or new endpoints.
+    fn swap_routes(&self, uplink: &Uplink, effects: &[Effect]) {
+        let mut snapshot: Option<Arc<Snapshot>> = None;
+        let held = || self.shared.state().snapshot().cloned();
+        for effect in effects {
+            match effect {
+                Effect::Publish(config) => {
+                    let next = if let Some(before) = snapshot.clone().or_else(held) {
+                        before.with_config(Arc::clone(config))
+                    } else {
+                        let endpoints = uplink.directory().iter();
+                        Snapshot::build(Arc::clone(config), endpoints, self.here())
+                    };
+                    snapshot = Some(Arc::new(next));
+                    self.log_version(config.version);
+                }
+                Effect::PublishEndpoints(changed) => {
+                    let Some(before) = snapshot.clone().or_else(held) else {
+                        continue;
+                    };
+                    snapshot = Some(Arc::new(with_services(&before, uplink, changed)));
+                }
+                _ => {}
+            }
+        }
+        if let Some(snapshot) = snapshot {
+            self.shared.dispatch(None, CallEvent::Routed(snapshot));
+        }
+    }
+
+    fn here(&self) -> Location {
+        Location {
+            data_centre: self.shared.cfg.data_centre.clone(),
+            region: self.shared.cfg.region.clone(),
+        }
+    }
+
+    fn log_version(&self, version: Version) {
+        let before = self.shared.in_force();
+        let from = before.unwrap_or_default();
+        log_event!(LogEvent::VersionApplied, version = version, from = from);
+        if version.0 > from.0 + 1 {
+            log_event!(LogEvent::CatchUp, from = from, to = version);
+        }
+        if before.is_none() {
+            log_event!(LogEvent::Ready, version = version);
+        }
+        self.shared.metrics.version(version);
+    }
+
+    fn execute(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::AskControl { control, attach } => {
+                tokio::spawn(Arc::clone(self).ask_control(control, attach));
+            }
+            Effect::SubscribeControl { control, req } => {
+                let address = self.control(control);
+                self.subscribe(address, req);
+            }
+            Effect::SubscribeDaemon { name, address, req } => {
+                log_event!(LogEvent::ParentChosen, parent = name, address = address);
+                self.subscribe(address, req);
+            }
+            Effect::Unsubscribe { stream } => {
+                if let Some((address, reader)) = self.parents().swap_remove(&stream) {
+                    log_event!(LogEvent::ParentLost, address = address, stream = stream);
+                    reader.abort();
+                }
+            }
+            Effect::AskPeers(peers) => {
+                for (name, address) in peers {
+                    tokio::spawn(Arc::clone(self).ask_version(name, address));
+                }
+            }
+            Effect::Fetch {
+                name,
+                address,
+                version,
+            } => {
+                log::info!("fetch versions after {version} from {name}");
+                tokio::spawn(Arc::clone(self).fetch(address, version));
+            }
+            // The routes are swapped already.
+            Effect::Publish(_) => {}
+            Effect::PublishEndpoints(changed) => log_endpoints(&changed),
+            Effect::Report(report) => self.report(report),
+            Effect::Answer {
+                child,
+                stream,
+                reply,
+            } => self.children.send(&child, stream, &Frame::Reply(reply)),
+            Effect::Update { child, update } => {
+                let stream = update.stream;
+                let frame = Frame::Update(Box::new(update));
+                self.children.send(&child, stream, &frame);
+            }
+            Effect::DropChildren(children) => {
+                for (child, stream) in children {
+                    self.children.close(&child, stream);
+                }
+            }
+        }
+    }
+
+    fn control(&self, number: u32) -> SocketAddr {
+        let control = &self.shared.cfg.control;
+        control[number as usize % control.len()]
+    }
+
+    fn parents(&self) -> MutexGuard<'_, IndexMap<u64, (SocketAddr, JoinHandle<()>)>> {
+        self.parents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn ask_control(self: Arc<Self>, control: u32, attach: Attach) {
+        let address = self.control(control);
+        let asked = self
+            .ask::<_, AttachAnswer>("attach", address, ATTACH_PATH, &attach)
+            .await;
+        let reply = match asked {
+            Ok(AttachAnswer::Reply(reply)) => Some(reply),
+            Ok(AttachAnswer::NotLeader(leader)) => {
+                let known = self.shared.cfg.control.iter();
+                let number = leader.and_then(|leader| known.clone().position(|at| *at == leader));
+                Some(AttachReply::NotLeader {
+                    leader: number.map(|number| number as u32),
+                })
+            }
+            Err(e) => {
+                log::debug!("{e}");
+                None
+            }
+        };
+        if let Some(AttachReply::Attached(attached)) = &reply {
+            if let Some(floor) = attached.floor {
+                log_event!(LogEvent::FloorLearned, version = floor, from = address);
+            }
+            if let Some(epoch) = attached.role.epoch() {
+                log_event!(LogEvent::RelayLeaseGranted, epoch = epoch, from = address);
+            }
+        }
+        self.step(Event::Attach { control, reply });
+    }
+
+    fn subscribe(self: &Arc<Self>, address: SocketAddr, req: Subscribe) {
+        let stream = req.stream;
+        let reader = tokio::spawn(Arc::clone(self).read_stream(address, req));
+        self.parents().insert(stream, (address, reader));
+    }
+
+    async fn read_stream(self: Arc<Self>, address: SocketAddr, req: Subscribe) {
+        let stream = req.stream;
+        if let Err(e) = self.read_frames(address, &req).await {
+            log::debug!("{e}");
+        }
+        self.step(Event::StreamLost { stream });
+    }
+
+    async fn read_frames(self: &Arc<Self>, address: SocketAddr, req: &Subscribe) -> Result<()> {
+        let deadline = Instant::now() + ASK_TIMEOUT;
+        let opened = self
+            .shared
+            .client
+            .open::<_, Frame>("subscribe", address, SUBSCRIBE_PATH, req, deadline)
+            .await;
+        let mut frames = match opened {
+            Ok(frames) => frames,
+            Err(e) => {
+                let stream = req.stream;
+                self.step(Event::Subscribed {
+                    stream,
+                    reply: None,
+                });
+                return Err(e);
+            }
+        };
+        let mut counted = 0;
+        loop {
+            let frame = frames.next(Instant::now() + SILENCE).await?;
+            let received = frames.received();
+            self.shared
+                .metrics
+                .control_bytes(Link::Parent, Direction::In, received - counted);
+            counted = received;
+            match frame {
+                Frame::Reply(reply) => self.step(Event::Subscribed {
+                    stream: req.stream,
+                    reply: Some(reply),
+                }),
+                Frame::Update(update) => self.step(Event::Update(*update)),
+            }
+        }
+    }
+
+    async fn ask_version(self: Arc<Self>, peer: DaemonName, address: SocketAddr) {
+        let asked = self
+            .ask::<_, VersionAnswer>("ask version", address, VERSION_PATH, &())
+            .await;
+        if let Ok(VersionAnswer { version }) = asked {
+            log_event!(
+                LogEvent::FloorLearned,
+                version = version.unwrap_or_default(),
+                from = peer
+            );
+            self.step(Event::PeerVersion { peer, version });
+        }
+    }
+
+    async fn fetch(self: Arc<Self>, address: SocketAddr, version: Version) {
+        match self.fetch_parts(address, version).await {
+            Ok(parts) => self.step(Event::Fetched(parts)),
+            Err(e) => log::debug!("{e}"),
+        }
+    }
+
+    async fn fetch_parts(&self, address: SocketAddr, version: Version) -> Result<Vec<DeltaPart>> {
+        let deadline = Instant::now() + SILENCE;
+        let mut frames = self
+            .shared
+            .client
+            .open::<_, DeltaPart>("fetch", address, FETCH_PATH, &version, deadline)
+            .await?;
+        let mut parts = Vec::new();
+        loop {
+            let part = frames.next(deadline).await?;
+            let last = part.part + 1 >= part.parts;
+            parts.push(part);
+            if last {
+                return Ok(parts);
+            }
+        }
+    }
+
+    fn report(self: &Arc<Self>, report: Report) {
+        let Some(address) = self.parents().get(&report.stream).map(|(at, _)| *at) else {
+            return;
+        };
+        let tree = Arc::clone(self);
+        tokio::spawn(async move {
+            let bytes = wire::encode(&report).map_or(0, |buf| buf.len() as u64);
+            let metrics = &tree.shared.metrics;
+            metrics.control_bytes(Link::Parent, Direction::Out, bytes);
+            let sent = tree.ask::<_, ()>("report", address, REPORT_PATH, &report);
+            if let Err(e) = sent.await {
+                log::debug!("{e}");
+            }
+        });
+    }
+
+    async fn ask<Q, A>(
+        &self,
+        step: &'static str,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+    ) -> Result<A>
+    where
+        Q: serde::Serialize,
+        A: serde::de::DeserializeOwned,
+    {
+        let deadline = Instant::now() + ASK_TIMEOUT;
+        let client = &self.shared.client;
+        client.ask(step, address, path, question, deadline).await
+    }
+
+    /// Answers a request of another daemon on the peer port.
+    pub async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let answered = match req.uri().path() {
+            SUBSCRIBE_PATH => peer::read_message(req).await.map(|req| self.open(req)),
+            REPORT_PATH => peer::read_message(req).await.map(|report| {
+                self.step(Event::Report(report));
+                peer::message_response(&())
+            }),
+            VERSION_PATH => Ok(peer::message_response(&VersionAnswer {
+                version: self.shared.in_force(),
+            })),
+            FETCH_PATH => peer::read_message(req)
+                .await
+                .and_then(|version| self.parts_for(version)),
+            _ => Ok(peer::status(StatusCode::NOT_FOUND)),
+        };
+        answered.unwrap_or_else(|e| {
+            log::warn!("request of a peer refused: {e}");
+            peer::status(StatusCode::BAD_REQUEST)
+        })
+    }
+
+    fn open(self: &Arc<Self>, req: Subscribe) -> Response<Body> {
+        let (child, stream) = (req.daemon.clone(), req.stream);
+        let (response, tx) = self.children.open(&child, stream);
+        self.step(Event::Subscribe(req));
+        let tree = Arc::clone(self);
+        tokio::spawn(async move {
+            tx.closed().await;
+            tree.children.close(&child, stream);
+            tree.step(Event::ChildLost { child, stream });
+        });
+        response
+    }
+
+    fn parts_for(&self, version: Version) -> Result<Response<Body>> {
+        let parts = self.uplink().fetch(version)?;
+        let mut buf = Vec::new();
+        for part in parts {
+            buf.extend_from_slice(&wire::encode_frame(&part)?);
+        }
+        Ok(Response::new(crate::body::full(buf)))
+    }
+}
+
+/// The routes with the endpoints of the services that changed.
+fn with_services(before: &Snapshot, uplink: &Uplink, changed: &Changed) -> Snapshot {
+    let keys = changed.upserts.iter().chain(&changed.removed);
+    let services: IndexSet<&ServiceName> = keys.map(|key| &key.service).collect();
+    let mut next = before.clone();
+    for service in services {
+        next = next.with_service(service, uplink.directory().of_service(service));
+    }
+    next
+}
+
+fn log_endpoints(changed: &Changed) {
+    for key in &changed.upserts {
+        log_event!(
+            LogEvent::EndpointSetApplied,
+            server = key.server,
+            service = key.service,
+            daemon = key.daemon,
+            change = "present",
+        );
+    }
+    for key in &changed.removed {
+        log_event!(
+            LogEvent::EndpointSetApplied,
+            server = key.server,
+            service = key.service,
+            daemon = key.daemon,
+            change = "gone",
+        );
+    }
+}
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -52,6 +52,7 @@
     pub async fn start() -> Result<Self> {
         let mesh = start().await?;
         put(&mesh, &lists::plans(), &lists::grants(&[]), &mut Vec::new()).await?;
+        check::await_routes(&mesh).await?;
         Ok(mesh)
     }
 
@@ -89,6 +90,7 @@
 struct Vm {
     daemon: Daemon,
     server: String,
+    service: &'static str,
     stand_in: StandIn,
 }
 
@@ -173,7 +175,7 @@
 
 async fn start_vm(
     at: usize,
-    service: &str,
+    service: &'static str,
     data_centre: &str,
     [config, claims]: [SocketAddr; 2],
     runs: &Runs,
@@ -202,6 +204,7 @@
     Ok(Vm {
         daemon,
         server,
+        service,
         stand_in,
     })
 }
--- a/src/dev/check.rs
+++ b/src/dev/check.rs
@@ -5,7 +5,7 @@
     crate::{
         body::{self, Body},
         http_client,
-        operator_api::{STATUS, StatusAnswer},
+        operator_api::{EXPLAIN, ExplainAnswer, STATUS, StatusAnswer},
         stand_in::Echo,
     },
     bytes::Bytes,
@@ -27,6 +27,7 @@
 pub(super) async fn run(mesh: &Mesh, out: &mut impl Write, notes: &mut impl Write) -> Result<bool> {
     writeln!(out)?;
     let mut passed = true;
+    await_routes(mesh).await?;
     let consultation = consult(mesh).await?;
     passed &= report(
         out,
@@ -71,20 +72,37 @@
     http_client::send(address, req).await
 }
 
-/// Sends a consultation until the routes are there.
-async fn consult(mesh: &Mesh) -> Result<Echo> {
+/// Waits until each daemon routes to all backend servers.
+pub(super) async fn await_routes(mesh: &Mesh) -> Result<()> {
     let deadline = Instant::now() + START_TIME;
-    loop {
-        let req = request("GET", "roll-consultation", "/entry/7", "clerks").body(body::empty())?;
-        let response = send(mesh, 0, req).await?;
-        if response.status().is_success() {
-            return Ok(serde_json::from_slice(response.body())?);
-        }
-        if Instant::now() > deadline {
-            return Err(format!("no consultation was answered: {response:?}").into());
+    for vm in &mesh.vms {
+        for (plan, service) in lists::grants_of_all() {
+            loop {
+                let path = format!("{EXPLAIN}?plan={plan}&service={service}");
+                let req = Request::get(path)
+                    .header(header::HOST, "daemon")
+                    .body(body::empty())?;
+                let response = http_client::send(vm.daemon.local_address(), req).await?;
+                let explained = serde_json::from_slice::<ExplainAnswer>(response.body());
+                let servers = mesh.vms.iter().filter(|vm| vm.service == service).count();
+                if explained.is_ok_and(|answer| answer.candidates.len() == servers) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    let daemon = vm.daemon.local_address();
+                    return Err(format!("daemon {daemon} has no route to {service}").into());
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
         }
-        sleep(Duration::from_millis(50)).await;
     }
+    Ok(())
+}
+
+async fn consult(mesh: &Mesh) -> Result<Echo> {
+    let req = request("GET", "roll-consultation", "/entry/7", "clerks").body(body::empty())?;
+    let response = send(mesh, 0, req).await?;
+    serde_json::from_slice(response.body()).map_err(|e| format!("{e}: {response:?}").into())
 }
 
 /// Sends an order twice, through two daemons.
--- a/src/dev/lists.rs
+++ b/src/dev/lists.rs
@@ -15,6 +15,11 @@
     format!("{plan}-key")
 }
 
+/// Each plan with the service that it may use.
+pub(super) fn grants_of_all() -> impl Iterator<Item = (&'static str, &'static str)> {
+    PLANS.iter().map(|(plan, service, _)| (*plan, *service))
+}
+
 /// The first list.
 pub(super) fn plans() -> String {
     let entry = |(plan, ..): &(&str, &str, &str)| {
--- a/src/relays/uplink/mod.rs
+++ b/src/relays/uplink/mod.rs
@@ -181,7 +181,7 @@
                 self.report_own(now);
             }
             Event::Subscribe(req) => self.child_subscribes(now, &req, &mut out),
-            Event::Report(report) => self.child_reports(now, report),
+            Event::Report(report) => self.child_reports(now, report, &mut out),
             Event::ChildLost { child, stream } => self.children.lost(&child, stream),
         }
         self.sync_own(now, &mut out);
--- a/src/relays/uplink/sets.rs
+++ b/src/relays/uplink/sets.rs
@@ -84,16 +84,22 @@
         self.take_member(now, member);
     }
 
-    pub(super) fn child_reports(&mut self, now: Instant, report: Report) {
+    pub(super) fn child_reports(&mut self, now: Instant, report: Report, out: &mut Vec<Effect>) {
         if !self.children.report(&report, now) {
             return;
         }
+        let mut changed = Changed::default();
         for delta in &report.sets {
             // The heartbeat tells the child what is held, so that it sends again what is missing.
-            if self.directory.apply(delta, now).is_ok() {
+            if let Ok(part) = self.directory.apply(delta, now) {
                 self.next_report = now;
+                changed.upserts.extend(part.upserts);
+                changed.removed.extend(part.removed);
             }
         }
+        if changed != Changed::default() {
+            out.push(Effect::PublishEndpoints(changed));
+        }
         for member in report.members.into_iter().take(MAX_MEMBERS) {
             self.take_member(now, member);
         }
