--- a/src/raft/replicate.rs
+++ b/src/raft/replicate.rs
@@ -160,7 +160,9 @@
         }
         let total = snapshot.data.len();
         let start = total.min(offset as usize);
-        let end = total.min(start + self.cfg.chunk_bytes);
+        // A heartbeat asks for the wanted offset and does not repeat the part.
+        let size = if waits { 0 } else { self.cfg.chunk_bytes };
+        let end = total.min(start + size);
         peer.snapshot = Some((index, start as u64, true));
         let body = Body::Chunk {
             at: snapshot.at,
--- a/src/raft/tests.rs
+++ b/src/raft/tests.rs
@@ -78,21 +78,24 @@
         let slot = 0_usize..5;
         let weather =
             (0_u32..25, 0_u32..25).prop_map(|(loss, duplicates)| Weather { loss, duplicates });
-        let run = (50_u64..1500, weather, any::<u64>()).prop_map(|(millis, weather, seed)| {
-            Transition::Run {
+        let run = (
+            prop_oneof![20_u64..200, 50_u64..1500],
+            weather,
+            any::<u64>(),
+        )
+            .prop_map(|(millis, weather, seed)| Transition::Run {
                 millis,
                 weather,
                 seed,
-            }
-        });
-        let crash = prop_oneof![Just(Crash::BeforeSync), Just(Crash::AfterSync)];
+            });
+        let crash = any::<(bool, bool)>().prop_map(|(synced, restart)| Crash { synced, restart });
         prop_oneof![
             10 => run,
             2 => (slot.clone(), 1_usize..8)
                 .prop_map(|(slot, count)| Transition::Propose { slot, count }),
             5 => (1_usize..8).prop_map(|count| Transition::ProposeToLeader { count }),
             3 => slot.clone().prop_map(|slot| Transition::Read { slot }),
-            3 => (slot.clone(), crash).prop_map(|(slot, crash)| Transition::Crash { slot, crash }),
+            6 => (slot.clone(), crash).prop_map(|(slot, crash)| Transition::Crash { slot, crash }),
             2 => Just(Transition::Restart),
             2 => any::<u8>().prop_map(|mask| Transition::Partition { mask }),
             1 => (slot.clone(), slot.clone())
@@ -197,7 +200,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(cases(150))]
+    #![proptest_config(cases(800))]
 
     /// Guards against lost or changed committed entries, two leaders in a term, stale confirmed
     /// reads and a group that stops accepting commands, under all faults together.
--- a/src/raft/tests/faults.rs
+++ b/src/raft/tests/faults.rs
@@ -12,7 +12,7 @@
 };
 
 impl Sim {
-    /// Makes the next batch of a replica its last.
+    /// Makes a replica crash in its next batch.
     pub(super) fn crash(&mut self, slot: usize, crash: Crash) {
         self.nodes[slot].crash = Some(crash);
     }
--- a/src/raft/tests/node.rs
+++ b/src/raft/tests/node.rs
@@ -2,11 +2,13 @@
 
 use crate::raft::{Effects, Member, Payload, Raft, ReplicaId, Stored};
 
-/// When a crash hits the batch of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Crash {
-    BeforeSync,
-    AfterSync,
+/// A crash in the next batch that stores something.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crash {
+    /// The batch was stored and synced before the crash.
+    pub(super) synced: bool,
+    /// The process restarts at once.
+    pub(super) restart: bool,
 }
 
 #[derive(Debug)]
--- a/src/raft/tests/rules.rs
+++ b/src/raft/tests/rules.rs
@@ -190,7 +190,7 @@
     }
 }
 
-/// Guards against a second vote in one term and against a vote for a shorter log.
+/// Guards against a second vote in one term, also after a restart, and a vote for a shorter log.
 #[test]
 fn votes_once_and_only_for_a_complete_log() {
     let now = Instant::now();
@@ -204,10 +204,17 @@
         let request = from(raft, &voters[voter], term, body);
         raft.handle(request, now, 0);
         let effects = raft.flush(now);
-        matches!(
+        let granted = matches!(
             effects.send[0].1.body,
             Body::VoteReply { granted: true, .. }
-        )
+        );
+        let stored = effects.hard.and_then(|hard| hard.vote);
+        assert_eq!(
+            granted,
+            stored == Some(voters[voter].id),
+            "a vote is stored first"
+        );
+        granted
     };
     let old = Position { index: 9, term: 1 };
     let equal = Position { index: 2, term: 2 };
--- a/src/raft/tests/sim.rs
+++ b/src/raft/tests/sim.rs
@@ -1,10 +1,10 @@
 //! A group of reducers on a simulated network with simulated disks, and the oracle.
 
 use {
-    super::node::{Crash, Node},
+    super::node::Node,
     crate::raft::{
-        Answer, Config, Entry, Event, HardState, Member, MemberRole, Message, Payload, Raft,
-        ReplicaId, Role, Snapshot, Stored,
+        Answer, Config, Effects, Entry, Event, HardState, Member, MemberRole, Message, Payload,
+        Raft, ReplicaId, Role, Snapshot, Stored,
     },
     bytes::Bytes,
     rand::{Rng as _, SeedableRng as _, rngs::StdRng},
@@ -72,6 +72,11 @@
     }
 }
 
+/// Whether a batch has something to store; other batches are not worth a crash.
+const fn stores(effects: &Effects) -> bool {
+    effects.hard.is_some() || effects.install.is_some() || !effects.entries.is_empty()
+}
+
 impl Sim {
     pub(super) fn new(count: usize) -> Self {
         let ids = (1..=count as u64).map(ReplicaId);
@@ -181,14 +186,15 @@
         };
         let effects = raft.flush(self.now);
         let (role, term) = (raft.role(), raft.term());
-        let crash = self.nodes[slot].crash.take();
-        if crash == Some(Crash::BeforeSync) {
-            self.stop(slot);
-            return;
+        let crash = self.nodes[slot].crash.filter(|_| stores(&effects));
+        if crash.is_none_or(|crash| crash.synced) {
+            self.nodes[slot].save(&effects);
         }
-        self.nodes[slot].save(&effects);
-        if crash == Some(Crash::AfterSync) {
+        if let Some(crash) = crash {
             self.stop(slot);
+            if crash.restart {
+                self.restart(slot);
+            }
             return;
         }
         if role == Role::Leader {
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -14,12 +14,12 @@
     tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
 };
 
-/// Memory for proposals that wait for the thread, in units of [`UNIT`].
-const PROPOSAL_UNITS: usize = 64 * 1024;
+/// Memory for proposals and reads that wait for an answer, in units of [`UNIT`].
+const MEMORY_UNITS: usize = 64 * 1024;
 /// Messages that wait for the thread; each holds up to [`crate::wire::MAX_MESSAGE`] bytes, and a
 /// leader sends at most 8 large ones to a follower before it hears an answer.
 const MESSAGES: usize = 256;
-/// Bytes in one unit of the memory for proposals.
+/// Bytes in one unit of that memory.
 const UNIT: usize = 1024;
 
 /// Why a request was not answered.
@@ -74,8 +74,8 @@
 pub(super) enum Request<S> {
     Message(Message, OwnedSemaphorePermit),
     Propose(Bytes, Answered, OwnedSemaphorePermit),
-    Read(ReadState<S>),
-    Local(Box<dyn FnOnce(&S) + Send>),
+    Read(ReadState<S>, OwnedSemaphorePermit),
+    Local(Box<dyn FnOnce(&S) + Send>, OwnedSemaphorePermit),
     Change(MemberChange, Answered),
     Transfer(ReplicaId, Answered),
     Stop,
@@ -85,7 +85,8 @@
 pub(super) enum Waiting<S> {
     /// The permit is held until the answer, so that it bounds the uncommitted proposals too.
     Answer(Answered, Option<OwnedSemaphorePermit>),
-    Read(ReadState<S>),
+    /// As for an answer.
+    Read(ReadState<S>, OwnedSemaphorePermit),
 }
 
 /// Access to a running replica; clones share it.
@@ -93,7 +94,7 @@
     id: ReplicaId,
     requests: Sender<Request<S>>,
     status: watch::Receiver<Status>,
-    proposals: Arc<Semaphore>,
+    memory: Arc<Semaphore>,
     messages: Arc<Semaphore>,
 }
 
@@ -103,7 +104,7 @@
             id: self.id,
             requests: self.requests.clone(),
             status: self.status.clone(),
-            proposals: Arc::clone(&self.proposals),
+            memory: Arc::clone(&self.memory),
             messages: Arc::clone(&self.messages),
         }
     }
@@ -127,7 +128,7 @@
             id,
             requests: tx,
             status,
-            proposals: Arc::new(Semaphore::new(PROPOSAL_UNITS)),
+            memory: Arc::new(Semaphore::new(MEMORY_UNITS)),
             messages: Arc::new(Semaphore::new(MESSAGES)),
         };
         (handle, rx)
@@ -149,11 +150,7 @@
             let reason = format!("command of {} bytes exceeds {MAX_COMMAND}", command.len());
             return Err(ProposeError::Refused(reason));
         }
-        let units = command.len() / UNIT + 1;
-        let permit = Arc::clone(&self.proposals)
-            .acquire_many_owned(units as u32)
-            .await
-            .map_err(|_closed| ProposeError::Stopped)?;
+        let permit = self.permit(command.len() / UNIT + 1).await?;
         let command = Bytes::from(command);
         self.answered(|answer| Request::Propose(command, answer, permit))
             .await
@@ -173,7 +170,8 @@
             // The reader may have gone away.
             let _gone = tx.send(state.map(read));
         });
-        self.request(Request::Read(run))?;
+        let permit = self.permit(1).await?;
+        self.request(Request::Read(run, permit))?;
         rx.await.unwrap_or(Err(ProposeError::Stopped))
     }
 
@@ -190,7 +188,8 @@
             // The reader may have gone away.
             let _gone = tx.send(read(state));
         });
-        self.request(Request::Local(run))?;
+        let permit = self.permit(1).await?;
+        self.request(Request::Local(run, permit))?;
         rx.await.map_err(|_stopped| ProposeError::Stopped)
     }
 
@@ -262,6 +261,14 @@
         let _ended = self.request(Request::Stop);
     }
 
+    /// Waits for memory for a request.
+    async fn permit(&self, units: usize) -> Result<OwnedSemaphorePermit, ProposeError> {
+        Arc::clone(&self.memory)
+            .acquire_many_owned(units as u32)
+            .await
+            .map_err(|_closed| ProposeError::Stopped)
+    }
+
     fn request(&self, request: Request<S>) -> Result<(), ProposeError> {
         self.requests
             .send(request)
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -225,8 +225,8 @@
                 self.waiting.insert(number, waiting);
                 Event::Propose(number, command)
             }
-            Request::Read(run) => {
-                self.waiting.insert(number, Waiting::Read(run));
+            Request::Read(run, permit) => {
+                self.waiting.insert(number, Waiting::Read(run, permit));
                 Event::Read(number)
             }
             Request::Change(change, answer) => {
@@ -237,8 +237,9 @@
                 self.waiting.insert(number, Waiting::Answer(answer, None));
                 Event::Transfer(number, to)
             }
-            Request::Local(run) => {
+            Request::Local(run, permit) => {
                 run(&self.machine.state);
+                drop(permit);
                 return;
             }
             Request::Stop => {
@@ -343,7 +344,10 @@
 impl<S> Waiting<S> {
     fn answer(self, answer: Answer, state: &S) {
         match self {
-            Self::Read(run) => run(ProposeError::of(answer).map(|()| state)),
+            Self::Read(run, permit) => {
+                drop(permit);
+                run(ProposeError::of(answer).map(|()| state));
+            }
             Self::Answer(to, permit) => {
                 drop(permit);
                 // The proposer may have gone away.
--- a/src/wal/folder.rs
+++ b/src/wal/folder.rs
@@ -70,6 +70,13 @@
 /// Creates the folder if it is missing and locks it until the file is closed.
 pub(super) fn lock(folder: &Path) -> Result<File> {
     fs::create_dir_all(folder).map_err(at("create folder", folder))?;
+    if let Some(parent) = folder
+        .canonicalize()
+        .map_err(at("find folder", folder))?
+        .parent()
+    {
+        sync(parent)?;
+    }
     let path = folder.join("lock");
     let file = File::create(&path).map_err(at("create lock", &path))?;
     file.try_lock()
