--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,8 @@
 pub mod serve;
 pub mod settings;
 pub mod stand_in;
+#[cfg(test)]
+mod seeded;
 pub mod suspects;
 pub mod tree_wire;
 pub mod versions;
