Check that no token goes to a daemon at the client, too

Cause: explain carries no token, so the test passed when the client sent one. Change: the test client always holds a token. Seen: the test fails when the client sends its token to the daemon, and passes otherwise. Conclusion: options and client are checked each on their own.

--- a/src/operator/tests/stand_in.rs
+++ b/src/operator/tests/stand_in.rs
@@ -4,6 +4,7 @@
     crate::{
         operator::{Client, Exit, Limits, run_with},
         options::{Parsed, parse},
+        settings::Secret,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -96,7 +97,12 @@
         request: AMPLE,
         election: patience,
     };
-    let client = Client::new(&options.control, options.token.clone(), limits);
+    // A client may hold a token even for a command that must not send it.
+    let token = options
+        .token
+        .clone()
+        .or(Some(Secret::from("secret-of-ann")));
+    let client = Client::new(&options.control, token, limits);
     let (mut out, mut notes) = (Vec::new(), Vec::new());
     let exit = run_with(&client, &options, &mut out, &mut notes).await;
     Run {
