Report a version as soon as it is in force

Cause: each of three levels reported once a second, so an operator waited up to 3 s for the confirmation of an edit that was in force after a fraction of it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,11 +37,12 @@
 pub mod serve;
 pub mod settings;
 pub mod stand_in;
-#[cfg(test)]
-mod seeded;
 pub mod suspects;
 pub mod tree_wire;
 pub mod versions;
 pub mod wal;
 pub mod wire;
 pub mod yaml;
+
+#[cfg(test)]
+mod seeded;
--- a/src/relays/children.rs
+++ b/src/relays/children.rs
@@ -64,6 +64,11 @@
         self.children.get(child).map(|child| child.stream)
     }
 
+    /// Lowest version in force at and below a child, as it last reported.
+    pub fn in_force(&self, child: &DaemonName) -> Option<Version> {
+        self.children.get(child)?.summary.lowest()
+    }
+
     /// Answers a subscription at a process of `level`.
     pub fn subscribe(&mut self, req: &Subscribe, level: u8, now: Instant) -> SubscribeReply {
         if req.level <= level {
--- a/src/relays/uplink/mod.rs
+++ b/src/relays/uplink/mod.rs
@@ -185,7 +185,7 @@
             Event::ChildLost { child, stream } => self.children.lost(&child, stream),
         }
         self.sync_own(now, &mut out);
-        self.publish(&mut out);
+        self.publish(now, &mut out);
         self.serve_children(now, &mut out);
         out
     }
@@ -205,12 +205,14 @@
         self.report(now, out);
     }
 
-    fn publish(&mut self, out: &mut Vec<Effect>) {
+    fn publish(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let Some(cfg) = self.store.in_force() else {
             return;
         };
         if self.published < Some(cfg.version) {
             self.published = Some(cfg.version);
+            // Operators wait for this, and the next regular report is up to a second away.
+            self.next_report = Instant::min(self.next_report, now);
             out.push(Effect::Publish(Arc::clone(cfg)));
         }
     }
--- a/src/relays/uplink/sets.rs
+++ b/src/relays/uplink/sets.rs
@@ -85,9 +85,13 @@
     }
 
     pub(super) fn child_reports(&mut self, now: Instant, report: Report, out: &mut Vec<Effect>) {
+        let before = self.children.in_force(&report.member.daemon);
         if !self.children.report(&report, now) {
             return;
         }
+        if before != report.summary.lowest() {
+            self.next_report = now;
+        }
         let mut changed = Changed::default();
         for delta in &report.sets {
             // The heartbeat tells the child what is held, so that it sends again what is missing.
