--- a/src/endpoints/tests.rs
+++ b/src/endpoints/tests.rs
@@ -30,6 +30,21 @@
     }
 }
 
+/// Reports one endpoint; returns whether the set has changed.
+fn put(own: &mut OwnSet, daemon: u8, number: u64, state: ServerState, now: Instant) -> bool {
+    let endpoints = [endpoint(daemon, state)];
+    own.report(&name(daemon), stamp(number), &endpoints, now)
+        .unwrap()
+}
+
+/// A directory that knows the whole of a set.
+fn view_of(own: &OwnSet, now: Instant) -> Directory {
+    let mut view = Directory::default();
+    let full = own.delta_since(Epoch::default(), 0).unwrap();
+    view.apply(&full, now).unwrap();
+    view
+}
+
 fn daemons(directory: &Directory) -> Vec<String> {
     let mut names: Vec<_> = directory
         .iter()
@@ -118,8 +133,7 @@
                 }
                 Event::Repeat(_) => {}
                 Event::TakeOver => {
-                    let mut known = Directory::default();
-                    known.apply(&own.delta_since(Epoch::default(), 0).unwrap(), now).unwrap();
+                    let known = view_of(&own, now);
                     epoch = Epoch::granted(1, number + 1);
                     own = OwnSet::take_over(&known, &"dc-1".into(), epoch, now);
                     for (deadline, _) in oracle.values_mut() {
@@ -138,32 +152,16 @@
     let now = Instant::now();
     let mut first = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
     for daemon in 1..=3 {
-        first
-            .report(
-                &name(daemon),
-                stamp(1),
-                &[endpoint(daemon, ServerState::Serving)],
-                now,
-            )
-            .unwrap();
+        put(&mut first, daemon, 1, ServerState::Serving, now);
     }
-    let mut view = Directory::default();
-    view.apply(&first.delta_since(Epoch::default(), 0).unwrap(), now)
-        .unwrap();
+    let mut view = view_of(&first, now);
     let mut second = OwnSet::take_over(&view, &"dc-1".into(), Epoch::granted(1, 2), now);
     let changed = view
         .apply(&second.delta_since(Epoch::granted(1, 1), 4).unwrap(), now)
         .unwrap();
     assert_eq!(changed, Changed::default());
     let later = now + Duration::from_secs(5);
-    second
-        .report(
-            &name(2),
-            stamp(2),
-            &[endpoint(2, ServerState::Serving)],
-            later,
-        )
-        .unwrap();
+    put(&mut second, 2, 2, ServerState::Serving, later);
     second.expire(now + TAKEOVER_LEASE);
     view.apply(&second.delta_since(Epoch::granted(1, 2), 1).unwrap(), now)
         .unwrap();
@@ -176,9 +174,7 @@
     let now = Instant::now();
     let mut old = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
     let new = OwnSet::new("dc-1".into(), Epoch::granted(2, 1), now);
-    let mut view = Directory::default();
-    view.apply(&new.delta_since(Epoch::default(), 0).unwrap(), now)
-        .unwrap();
+    let mut view = view_of(&new, now);
     for number in 1..9 {
         old.report(
             &name(1),
@@ -187,13 +183,7 @@
             now,
         )
         .unwrap_err();
-        old.report(
-            &name(1),
-            stamp(number),
-            &[endpoint(1, ServerState::Serving)],
-            now,
-        )
-        .unwrap();
+        put(&mut old, 1, number, ServerState::Serving, now);
     }
     let error = view
         .apply(&old.delta_since(Epoch::default(), 0).unwrap(), now)
@@ -210,20 +200,8 @@
 fn a_gap_is_reported() {
     let now = Instant::now();
     let mut own = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
-    own.report(
-        &name(1),
-        stamp(1),
-        &[endpoint(1, ServerState::Serving)],
-        now,
-    )
-    .unwrap();
-    own.report(
-        &name(2),
-        stamp(1),
-        &[endpoint(2, ServerState::Serving)],
-        now,
-    )
-    .unwrap();
+    put(&mut own, 1, 1, ServerState::Serving, now);
+    put(&mut own, 2, 1, ServerState::Serving, now);
     let delta = own.delta_since(Epoch::granted(1, 1), 2).unwrap();
     let mut view = Directory::default();
     assert!(matches!(
@@ -232,20 +210,8 @@
     ));
     view.apply(&own.delta_since(Epoch::default(), 0).unwrap(), now)
         .unwrap();
-    own.report(
-        &name(3),
-        stamp(1),
-        &[endpoint(3, ServerState::Serving)],
-        now,
-    )
-    .unwrap();
-    own.report(
-        &name(4),
-        stamp(1),
-        &[endpoint(4, ServerState::Serving)],
-        now,
-    )
-    .unwrap();
+    put(&mut own, 3, 1, ServerState::Serving, now);
+    put(&mut own, 4, 1, ServerState::Serving, now);
     let gap = own.delta_since(Epoch::granted(1, 1), 4).unwrap();
     let error = view.apply(&gap, now).unwrap_err();
     assert_eq!(
@@ -259,24 +225,8 @@
 fn a_late_report_does_not_undo_draining() {
     let now = Instant::now();
     let mut own = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
-    assert!(
-        own.report(
-            &name(1),
-            stamp(2),
-            &[endpoint(1, ServerState::Draining)],
-            now
-        )
-        .unwrap()
-    );
-    assert!(
-        !own.report(
-            &name(1),
-            stamp(1),
-            &[endpoint(1, ServerState::Serving)],
-            now
-        )
-        .unwrap()
-    );
+    assert!(put(&mut own, 1, 2, ServerState::Draining, now));
+    assert!(!put(&mut own, 1, 1, ServerState::Serving, now));
     assert!(
         own.iter()
             .all(|endpoint| endpoint.state == ServerState::Draining)
@@ -288,16 +238,8 @@
 fn a_set_outlives_a_partition_of_an_hour() {
     let now = Instant::now();
     let mut own = OwnSet::new("dc-1".into(), Epoch::granted(1, 1), now);
-    own.report(
-        &name(1),
-        stamp(1),
-        &[endpoint(1, ServerState::Serving)],
-        now,
-    )
-    .unwrap();
-    let mut view = Directory::default();
-    view.apply(&own.delta_since(Epoch::default(), 0).unwrap(), now)
-        .unwrap();
+    put(&mut own, 1, 1, ServerState::Serving, now);
+    let mut view = view_of(&own, now);
     assert!(view.silent(now + REFRESH * 2).is_empty());
     assert_eq!(view.silent(now + SILENT_AFTER), ["dc-1".into()]);
     assert!(view.expire(now + Duration::from_secs(3_700)).is_empty());
--- a/src/versions/tests.rs
+++ b/src/versions/tests.rs
@@ -23,6 +23,20 @@
     }
 }
 
+fn set_plans(plans: Vec<Plan>) -> Change {
+    Change {
+        plans,
+        ..Change::default()
+    }
+}
+
+fn set_grants(grants: Vec<Grant>) -> Change {
+    Change {
+        grants,
+        ..Change::default()
+    }
+}
+
 /// Sets or removes one record; a removal of a plan takes its grants along.
 #[derive(Clone, Debug)]
 enum Step {
@@ -136,12 +150,7 @@
     let mut control = ConfigStore::with_config(Config::default());
     for key in 0..versions {
         let plans = vec![plan((key % 200) as u8, key)];
-        control
-            .edit(&Change {
-                plans,
-                ..Change::default()
-            })
-            .unwrap();
+        control.edit(&set_plans(plans)).unwrap();
     }
     control
 }
@@ -156,12 +165,7 @@
         .unwrap();
     for capacity in 0..400 {
         let grants = vec![grant(1, 1, capacity)];
-        control
-            .edit(&Change {
-                grants,
-                ..Change::default()
-            })
-            .unwrap();
+        control.edit(&set_grants(grants)).unwrap();
     }
     let delta = control.delta_since(child.version()).unwrap();
     assert!(!delta.full);
@@ -175,24 +179,14 @@
 fn a_full_copy_is_sent_when_tombstones_do_not_reach_back() {
     let mut control = ConfigStore::with_config(Config::default());
     let plans = vec![plan(1, 1)];
-    control
-        .edit(&Change {
-            plans,
-            ..Change::default()
-        })
-        .unwrap();
+    control.edit(&set_plans(plans)).unwrap();
     let many: Vec<_> = (0..=MAX_TOMBSTONES)
         .map(|n| Grant {
             service: n.to_string().as_str().into(),
             ..grant(1, 1, 1)
         })
         .collect();
-    control
-        .edit(&Change {
-            grants: many.clone(),
-            ..Change::default()
-        })
-        .unwrap();
+    control.edit(&set_grants(many.clone())).unwrap();
     let mut child = ConfigStore::new();
     child
         .apply(&control.delta_since(Version(0)).unwrap())
@@ -261,20 +255,14 @@
     let mut control = edited(2);
     let cases = [
         (
-            Change {
-                grants: vec![grant(9, 1, 1)],
-                ..Change::default()
-            },
+            set_grants(vec![grant(9, 1, 1)]),
             "version 3: grant of \"service-1\" to plan \"plan-9\" refers to a plan that does not exist",
         ),
         (
-            Change {
-                plans: vec![Plan {
-                    name: "other".into(),
-                    ..plan(1, 1)
-                }],
-                ..Change::default()
-            },
+            set_plans(vec![Plan {
+                name: "other".into(),
+                ..plan(1, 1)
+            }]),
             "version 3: plan \"other\" has a key hash that occurs twice",
         ),
         (
@@ -305,12 +293,7 @@
             ..plan(n, 0)
         })
         .collect();
-    control
-        .edit(&Change {
-            plans,
-            ..Change::default()
-        })
-        .unwrap();
+    control.edit(&set_plans(plans)).unwrap();
     let delta = control.delta_since(Version(0)).unwrap();
     assert!(wire::encode(&delta).is_err(), "larger than one message");
     let parts = split(delta.clone()).unwrap();
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -7,11 +7,10 @@
         edits::EditReply,
         model::*,
         relays::{Event, Role, Uplink, interim_hash},
-        versions::Change,
     },
     proptest::{prelude::*, test_runner::RngSeed},
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
-    tree::{DAEMONS, Noise, TICK, Tree, data_centre, name},
+    tree::{DAEMONS, Noise, TICK, Tree, change, data_centre, name},
 };
 
 /// Ticks after the last fault within which everybody must be current: 7 s.
@@ -158,26 +157,6 @@
     }
 }
 
-fn change(n: u8) -> Change {
-    let plan = Plan {
-        name: format!("plan-{}", n % 5).as_str().into(),
-        key_hashes: vec![Digest::of(&[n % 5])],
-        home_region: format!("region-{n}").as_str().into(),
-    };
-    let grant = Grant {
-        plan: plan.name.clone(),
-        service: format!("service-{}", n % 7).as_str().into(),
-        servers: vec![],
-        capacity: n.into(),
-        rank: Rank::High,
-    };
-    Change {
-        plans: vec![plan],
-        grants: vec![grant],
-        ..Change::default()
-    }
-}
-
 fn edit(tree: &mut Tree, n: u8) -> Version {
     let base = tree.newest();
     let reply = tree.edit(u128::from(base.0) << 8, base, change(n));
--- a/tests/tree/mod.rs
+++ b/tests/tree/mod.rs
@@ -3,7 +3,7 @@
 mod checks;
 mod nodes;
 
-pub use self::nodes::{Noise, data_centre, name};
+pub use self::nodes::{Noise, change, data_centre, name};
 
 use {
     self::nodes::{Control, Message, Node, control, endpoint, member, number},
@@ -157,7 +157,7 @@
     fn follow(&mut self, replica: usize) {
         let children = self.controls[replica].children.clear();
         for (child, stream) in children {
-            self.send(Node::Daemon(number(&child)), Message::StreamLost(stream));
+            self.tell(&child, Message::StreamLost(stream));
         }
     }
 
@@ -219,7 +219,7 @@
             .children
             .frames(control.state.store(), &control.directory, 0, now);
         for (child, update) in frames.unwrap() {
-            self.send(Node::Daemon(number(&child)), Message::Update(update));
+            self.tell(&child, Message::Update(update));
         }
     }
 
@@ -305,60 +305,61 @@
         let link = uplink.parent().map(|(parent, _)| parent.map(number));
         for effect in uplink.step(now, random, event) {
             match effect {
-                Effect::AskControl { control, attach } => self.send(
-                    Node::Control(control as usize),
-                    Message::Attach(daemon, attach),
-                ),
-                Effect::SubscribeControl { control, req } => self.send(
-                    Node::Control(control as usize),
-                    Message::Subscribe(daemon, req),
-                ),
+                Effect::AskControl { control, attach } => {
+                    self.ask(control, Message::Attach(daemon, attach));
+                }
+                Effect::SubscribeControl { control, req } => {
+                    self.ask(control, Message::Subscribe(daemon, req));
+                }
                 Effect::SubscribeDaemon { name, req, .. } => {
-                    self.send(Node::Daemon(number(&name)), Message::Subscribe(daemon, req));
+                    self.tell(&name, Message::Subscribe(daemon, req));
                 }
                 Effect::Unsubscribe { stream } => {
                     let lost = Message::ChildLost(name(daemon), stream);
-                    match link.flatten() {
-                        Some(parent) => self.send(Node::Daemon(parent), lost),
-                        None => {
-                            (0..CONTROLS).for_each(|n| self.send(Node::Control(n), lost.clone()));
-                        }
-                    }
+                    self.tell_parent(link.flatten(), &lost);
+                }
+                Effect::AskPeers(peers) => {
+                    let ask = |(peer, _): &_| self.tell(peer, Message::AskVersion(daemon));
+                    peers.iter().for_each(ask);
                 }
-                Effect::AskPeers(peers) => peers.iter().for_each(|(peer, _)| {
-                    self.send(Node::Daemon(number(peer)), Message::AskVersion(daemon));
-                }),
                 Effect::Fetch { name, version, .. } => {
-                    self.send(Node::Daemon(number(&name)), Message::Fetch(daemon, version));
+                    self.tell(&name, Message::Fetch(daemon, version));
+                }
+                Effect::Report(report) => {
+                    let parent = self.daemons[daemon].as_ref().and_then(Uplink::parent);
+                    let parent = parent.and_then(|(parent, _)| parent.map(number));
+                    self.tell_parent(parent, &Message::Report(report));
                 }
-                Effect::Report(report) => self.report(daemon, report),
                 Effect::Answer {
                     child,
                     stream,
                     reply,
-                } => self.send(
-                    Node::Daemon(number(&child)),
-                    Message::Subscribed(stream, reply),
-                ),
-                Effect::Update { child, update } => {
-                    self.send(Node::Daemon(number(&child)), Message::Update(update));
+                } => {
+                    self.tell(&child, Message::Subscribed(stream, reply));
+                }
+                Effect::Update { child, update } => self.tell(&child, Message::Update(update)),
+                Effect::DropChildren(children) => {
+                    let drop = |(child, stream): &_| self.tell(child, Message::StreamLost(*stream));
+                    children.iter().for_each(drop);
                 }
-                Effect::DropChildren(children) => children.iter().for_each(|(child, stream)| {
-                    self.send(Node::Daemon(number(child)), Message::StreamLost(*stream));
-                }),
                 Effect::Publish(_) | Effect::PublishEndpoints(_) => {}
             }
         }
     }
 
-    fn report(&mut self, daemon: usize, report: Report) {
-        let parent = self.daemons[daemon].as_ref().and_then(Uplink::parent);
-        match parent.map(|(parent, _)| parent.map(number)) {
-            Some(Some(parent)) => self.send(Node::Daemon(parent), Message::Report(report)),
-            // Only a replica that knows the stream takes the report.
-            Some(None) => (0..CONTROLS)
-                .for_each(|n| self.send(Node::Control(n), Message::Report(report.clone()))),
-            None => {}
+    fn ask(&mut self, control: u32, message: Message) {
+        self.send(Node::Control(control as usize), message);
+    }
+
+    fn tell(&mut self, daemon: &DaemonName, message: Message) {
+        self.send(Node::Daemon(number(daemon)), message);
+    }
+
+    /// Of the control replicas, only the one that knows the stream takes the message.
+    fn tell_parent(&mut self, parent: Option<usize>, message: &Message) {
+        match parent {
+            Some(parent) => self.send(Node::Daemon(parent), message.clone()),
+            None => (0..CONTROLS).for_each(|n| self.send(Node::Control(n), message.clone())),
         }
     }
 }
--- a/tests/tree/nodes.rs
+++ b/tests/tree/nodes.rs
@@ -1,7 +1,13 @@
 //! Processes and messages of the simulated tree.
 
 use {
-    anvilbeam::{edits::State, endpoints::Directory, model::*, relays::*, versions::DeltaPart},
+    anvilbeam::{
+        edits::State,
+        endpoints::Directory,
+        model::*,
+        relays::*,
+        versions::{Change, DeltaPart},
+    },
     std::time::Instant,
 };
 
@@ -96,3 +102,24 @@
         term,
     }
 }
+
+/// Sets one plan and one of its grants.
+pub fn change(n: u8) -> Change {
+    let plan = Plan {
+        name: format!("plan-{}", n % 5).as_str().into(),
+        key_hashes: vec![Digest::of(&[n % 5])],
+        home_region: format!("region-{n}").as_str().into(),
+    };
+    let grant = Grant {
+        plan: plan.name.clone(),
+        service: format!("service-{}", n % 7).as_str().into(),
+        servers: vec![],
+        capacity: n.into(),
+        rank: Rank::High,
+    };
+    Change {
+        plans: vec![plan],
+        grants: vec![grant],
+        ..Change::default()
+    }
+}
