Keep a request from crashing more than two backend servers

Cause: an idempotent request was retried after each crash, so one call ended three of four backend servers. Change: the owner daemon counts the requests in flight when its server crashes, tells the daemons of the service, and only then answers; a suspect runs alone and is refused everywhere after its second crash. Calls carry the version in force, so that a daemon that lags behind notices.

--- a/src/call.rs
+++ b/src/call.rs
@@ -28,6 +28,10 @@
 pub const CAPACITY: HeaderName = HeaderName::from_static("anvilbeam-capacity");
 /// Header with the home region of the plan, between daemons.
 pub const HOME_REGION: HeaderName = HeaderName::from_static("anvilbeam-home-region");
+/// Header with the version in force at the daemon that sends a call.
+pub const VERSION: HeaderName = HeaderName::from_static("anvilbeam-version");
+/// Header with the name of the daemon that sends a call.
+pub const DAEMON: HeaderName = HeaderName::from_static("anvilbeam-daemon");
 /// Header that tells the owner daemon that the body has no length limit in time.
 pub const STREAMED: HeaderName = HeaderName::from_static("anvilbeam-streamed");
 /// Standard header with the idempotency key.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon beside each backend server.
 
 mod attempt;
+mod crash;
 mod entry;
 pub mod event;
 mod local;
@@ -14,13 +15,16 @@
     self::{event::Event, shared::Shared, tree::Tree},
     crate::{
         body::Body,
+        call,
         error::{Error, Result},
         events::Event as LogEvent,
-        log_event, peer,
+        log_event,
+        model::Version,
+        peer,
         serve::{self, Server},
         settings,
     },
-    http::{Request, Response},
+    http::{HeaderMap, HeaderValue, Request, Response},
     hyper::body::Incoming,
     std::{
         net::SocketAddr,
@@ -106,6 +110,7 @@
             tokio::spawn(Arc::clone(&tree).tick_forever()),
             tokio::spawn(Arc::clone(&tree).announce_forever()),
             tokio::spawn(tick_forever(Arc::clone(&shared))),
+            tokio::spawn(crash::exchange_forever(Arc::clone(&shared))),
         ];
         Ok(Self {
             shared,
@@ -193,8 +198,26 @@
     req: Request<Incoming>,
 ) -> Response<Body> {
     // Proxied calls keep their own path, so a header tells them from messages.
-    if req.headers().contains_key(crate::call::PLAN) {
+    if req.headers().contains_key(call::PLAN) {
+        notice_version(&shared, &tree, req.headers());
         return owner::handle_peer(shared, req).await;
     }
+    if req.uri().path() == crash::SUSPECTS_PATH {
+        return crash::answer(&shared, req).await;
+    }
     tree.answer(req).await
 }
+
+/// A call of a daemon that has a newer version shows that this one lags behind.
+fn notice_version(shared: &Shared, tree: &Arc<Tree>, headers: &HeaderMap) {
+    let text = |name| {
+        let value: Option<&HeaderValue> = headers.get(name);
+        value.and_then(|value| value.to_str().ok())
+    };
+    let version = text(call::VERSION).and_then(|text| text.parse().ok());
+    if let (Some(peer), Some(version)) = (text(call::DAEMON), version.map(Version))
+        && Some(version) > shared.in_force()
+    {
+        tree.saw_version(&peer.into(), version);
+    }
+}
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -14,7 +14,7 @@
         events::Event as LogEvent,
         log_event,
         metrics::Outcome as CallOutcome,
-        model::ServerName,
+        model::{ServerName, Version},
         peer::SendError,
         refusal::{Outcome, Reason, Refusal},
         retry::{self, Cause, Failure, RETRIED_HEADER},
@@ -277,6 +277,12 @@
 ) -> Result<Response<Body>, Sent> {
     let address = choice.endpoint.address;
     call.write(req.headers_mut(), Instant::now());
+    if let Some(Version(version)) = shared.in_force() {
+        req.headers_mut().insert(call::VERSION, version.into());
+    }
+    if let Ok(name) = HeaderValue::from_str(shared.cfg.name.as_str()) {
+        req.headers_mut().insert(call::DAEMON, name);
+    }
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     let uri = format!("http://{address}{path}").parse();
     *req.uri_mut() = uri.map_err(|e| {
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -10,6 +10,7 @@
         refusal::Refusal,
         retry::{self, Failure, GiveUp},
         routes::Snapshot,
+        suspects::{Crash, Ending, Fingerprint, Report, RunId},
     },
     std::{sync::Arc, time::Instant},
 };
@@ -91,6 +92,27 @@
         /// The call.
         id: CallId,
     },
+    /// A call with a slot is about to run.
+    RunWanted {
+        /// The call.
+        id: CallId,
+        /// Identifies its request over resends.
+        fingerprint: Fingerprint,
+    },
+    /// A run ended without a crash.
+    RunEnded {
+        /// The run.
+        run: RunId,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// The backend server ended while calls were in flight on it.
+    ServerCrashed {
+        /// The start of the server that was seen to end.
+        incarnation: u64,
+    },
+    /// Another daemon told of requests that crashed backend servers.
+    Suspected(&'a Report),
     /// The backend server announced itself.
     Announced(&'a Announcement),
     /// The backend server does not accept connections.
@@ -139,6 +161,17 @@
         /// The call.
         id: CallId,
     },
+    /// Send the call to the own backend server.
+    Run {
+        /// The call.
+        id: CallId,
+        /// Ends with [`Event::RunEnded`].
+        run: RunId,
+    },
+    /// Write what a crash made of the requests in flight to the log.
+    Crashed(Vec<Crash>),
+    /// Write to the log that a suspect was answered.
+    Cleared,
     /// Tell the parent that the announced backend server changed.
     Report,
     /// Write a change of a backend server's standing to the log.
@@ -157,8 +190,9 @@
             Self::Forward { id, .. }
             | Self::GiveUp { id, .. }
             | Self::Refuse { id, .. }
-            | Self::Start { id } => Some(*id),
-            Self::Report | Self::Standing { .. } => None,
+            | Self::Start { id }
+            | Self::Run { id, .. } => Some(*id),
+            Self::Crashed(_) | Self::Cleared | Self::Report | Self::Standing { .. } => None,
         }
     }
 }
--- a/src/daemon/order.rs
+++ b/src/daemon/order.rs
@@ -33,7 +33,9 @@
     let text = call.idempotency_key.as_deref().unwrap_or_default();
     let key = ClaimKey::new(&call.plan, text);
     let (request, req) = digest(&call, req).await?;
-    let slot = owner::acquire(&shared, &call).await?;
+    let mut slot = owner::acquire(&shared, &call).await?;
+    // Before the claim, so that a refused suspect leaves no claim behind.
+    slot.start_run(owner::fingerprint(&call, &req))?;
     match group
         .claim(key, request, &shared.cfg.name, call.deadline)
         .await
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        crash,
         event::{CallId, Effect, Event},
         order,
         shared::Shared,
@@ -14,6 +15,7 @@
         events::Event as LogEvent,
         log_event,
         refusal::{Reason, Refusal},
+        suspects::{self, Ending as RunEnding, Fingerprint, Identity, RunId},
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
@@ -68,7 +70,8 @@
     call: &Call,
     req: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
-    let slot = acquire(shared, call).await?;
+    let mut slot = acquire(shared, call).await?;
+    slot.start_run(fingerprint(call, &req))?;
     let answer = send(&slot, call, req).await?;
     Ok(stream(slot, answer))
 }
@@ -77,6 +80,7 @@
 pub(super) struct Slot {
     pub(super) shared: Arc<Shared>,
     id: CallId,
+    run: Option<RunId>,
     ended: bool,
 }
 
@@ -85,14 +89,42 @@
     pub(super) fn end(mut self, outcome: SlotOutcome) {
         self.ended = true;
         let id = self.id;
+        self.end_run(outcome == SlotOutcome::Done);
         self.shared.dispatch(None, Event::SlotDone { id, outcome });
     }
+
+    /// Counts the request as running, unless it is suspected of crashing backend servers and must
+    /// not run now.
+    pub(super) fn start_run(&mut self, fingerprint: Fingerprint) -> Result<(), Refusal> {
+        let id = self.id;
+        let event = Event::RunWanted { id, fingerprint };
+        match self.shared.dispatch(Some(id), event) {
+            Some(Effect::Run { run, .. }) => {
+                self.run = Some(run);
+                Ok(())
+            }
+            Some(Effect::Refuse { refusal, .. }) => Err(refusal),
+            _ => Err(Refusal::not_run(Reason::Overload, "no decision")),
+        }
+    }
+
+    fn end_run(&mut self, answered: bool) {
+        match self.run.take() {
+            Some(run) if answered => {
+                let ending = RunEnding::Answered;
+                self.shared.dispatch(None, Event::RunEnded { run, ending });
+            }
+            Some(run) => crash::end_broken_run(&self.shared, run),
+            None => {}
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.ended {
             self.shared.forget(self.id);
+            self.end_run(false);
             let id = self.id;
             self.shared.dispatch(None, Event::SlotCancelled { id });
         }
@@ -107,6 +139,7 @@
     let mut slot = Slot {
         shared: Arc::clone(shared),
         id,
+        run: None,
         ended: false,
     };
     let decision = match shared.dispatch(Some(id), Event::SlotWanted { id, call }) {
@@ -187,9 +220,7 @@
             Err(Refusal::not_run(Reason::ServerUnreachable, reason))
         }
         Err(CallError::Broken(reason)) => {
-            if !backend.accepts().await {
-                shared.dispatch(None, Event::ServerGone { incarnation });
-            }
+            crash::after_break(shared, &backend, incarnation).await;
             Err(Refusal::unknown(Reason::Failed, reason))
         }
         Err(CallError::TimedOut) => Err(Refusal::unknown(
@@ -199,6 +230,19 @@
     }
 }
 
+/// Identifies a request over its resends.
+pub(super) fn fingerprint(call: &Call, req: &Request<Body>) -> Fingerprint {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    let key = call.idempotency_key.as_deref();
+    Fingerprint::of(&suspects::Request {
+        plan: call.plan.as_str(),
+        service: call.service.as_str(),
+        method: req.method().as_str(),
+        path,
+        identity: key.map_or(Identity::Unknown, Identity::Key),
+    })
+}
+
 fn server_of(shared: &Shared) -> Option<(SocketAddr, u64)> {
     let state = shared.state();
     let announcement = &state.server()?.announcement;
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -17,6 +17,7 @@
         peer::Client,
         refusal::Refusal,
         settings,
+        suspects::Crash,
     },
     indexmap::IndexMap,
     std::{
@@ -29,7 +30,7 @@
         },
         time::Instant,
     },
-    tokio::sync::{Notify, oneshot},
+    tokio::sync::{Mutex as AsyncMutex, Notify, oneshot},
 };
 
 /// What an owner daemon decided on a call that waits for a slot.
@@ -49,6 +50,8 @@
     pub metrics: Metrics,
     /// Wakes the task that reports to the parent.
     pub report: Notify,
+    /// Change of the suspects up to which other daemons were told.
+    pub told_suspects: AsyncMutex<u64>,
     state: Mutex<State>,
     waiting: Mutex<HashMap<CallId, oneshot::Sender<SlotDecision>>>,
     backend: Mutex<Option<Arc<Backend>>>,
@@ -77,6 +80,7 @@
             claims,
             metrics: Metrics::new(),
             report: Notify::new(),
+            told_suspects: AsyncMutex::new(0),
             state: Mutex::new(State::new(Instant::now())),
             waiting: Mutex::default(),
             backend: Mutex::default(),
@@ -116,8 +120,10 @@
             Effect::Refuse { id, refusal } => self.decide(id, Err(refusal)),
             Effect::Report => self.report.notify_one(),
             Effect::Standing { endpoint, change } => log_standing(&endpoint, change),
+            Effect::Crashed(crashes) => log_crashes(&crashes),
+            Effect::Cleared => log_event!(LogEvent::SuspectCleared, daemon = self.cfg.name),
             // Only the call itself can handle these, and it passes its own number.
-            Effect::Forward { id, .. } | Effect::GiveUp { id, .. } => {
+            Effect::Forward { id, .. } | Effect::GiveUp { id, .. } | Effect::Run { id, .. } => {
                 log::error!("effect for call {id} has no receiver");
             }
         }
@@ -218,3 +224,14 @@
         ),
     }
 }
+
+fn log_crashes(crashes: &[Crash]) {
+    for crash in crashes {
+        let event = if crash.is_condemned {
+            LogEvent::SuspectCondemned
+        } else {
+            LogEvent::SuspectMarked
+        };
+        log_event!(event, fingerprint = crash.fingerprint);
+    }
+}
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -8,10 +8,11 @@
         announce::Announcement,
         balance::{Balancer, Choice},
         call::Call,
-        model::{ServerState, ServiceName},
+        model::{ServerName, ServerState, ServiceName},
         refusal::{Reason, Refusal},
         retry::{self, Budget, Decision, Failure, GiveUp},
         routes::{RouteRefusal, Snapshot},
+        suspects::{Fingerprint, Suspects, Verdict},
     },
     std::{
         sync::Arc,
@@ -22,6 +23,9 @@
 /// Time for which an announcement is valid.
 pub const ANNOUNCE_LEASE: Duration = Duration::from_secs(3);
 
+/// Wait after which a suspect may find its server without another suspect.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
+
 /// The announced backend server beside the daemon.
 #[derive(Clone, Debug)]
 pub struct OwnServer {
@@ -39,6 +43,7 @@
     budget: Budget,
     server: Option<OwnServer>,
     admission: Admission,
+    suspects: Suspects,
     draining: bool,
 }
 
@@ -51,6 +56,7 @@
             budget: Budget::new(now),
             server: None,
             admission: Admission::new(0),
+            suspects: Suspects::default(),
             draining: false,
         }
     }
@@ -75,6 +81,11 @@
         &self.balancer
     }
 
+    /// Requests that crashed backend servers.
+    pub const fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Whether the daemon is shutting down.
     pub const fn is_draining(&self) -> bool {
         self.draining
@@ -101,6 +112,16 @@
                 slot_effects(self.admission.finish(id, outcome, now))
             }
             Event::SlotCancelled { id } => slot_effects(self.admission.cancel(id, now)),
+            Event::RunWanted { id, fingerprint } => vec![self.start_run(id, fingerprint, now)],
+            Event::RunEnded { run, ending } => {
+                let cleared = self.suspects.finished(run, ending, now);
+                cleared.then_some(Effect::Cleared).into_iter().collect()
+            }
+            Event::ServerCrashed { incarnation } => self.server_crashed(incarnation, now),
+            Event::Suspected(report) => {
+                self.suspects.merge(report, now);
+                Vec::new()
+            }
             Event::Announced(announcement) => self.announced(announcement, now),
             Event::ServerGone { incarnation } => self.server_gone(incarnation, now),
             Event::Routed(snapshot) => {
@@ -246,6 +267,52 @@
         slot_effects(self.admission.arrive(&arriving, now))
     }
 
+    fn start_run(&mut self, id: CallId, fingerprint: Fingerprint, now: Instant) -> Effect {
+        let Some(server) = &self.server else {
+            let detail = "the backend server is no longer announced";
+            let refusal = Refusal::not_run(Reason::NoServer, detail);
+            return Effect::Refuse { id, refusal };
+        };
+        let name = &server.announcement.server;
+        let refusal = match self.suspects.check(fingerprint, name) {
+            Verdict::Free | Verdict::RunAsOnlySuspect => {
+                let run = self.suspects.started(fingerprint, name);
+                return Effect::Run { id, run };
+            }
+            Verdict::Busy => {
+                let detail = "a request that may have crashed a backend server runs alone";
+                let mut refusal = Refusal::not_run(Reason::SuspectBusy, detail);
+                refusal.retry_at = Some(now + SUSPECT_PAUSE);
+                refusal
+            }
+            Verdict::Condemned => Refusal::not_run(
+                Reason::Condemned,
+                format!(
+                    "the request crashed two backend servers of {}",
+                    server.announcement.service
+                ),
+            ),
+        };
+        Effect::Refuse { id, refusal }
+    }
+
+    fn server_crashed(&mut self, incarnation: u64, now: Instant) -> Vec<Effect> {
+        let same = |server: &&OwnServer| server.announcement.incarnation == incarnation;
+        let Some(server) = self.server.as_ref().filter(same) else {
+            return Vec::new();
+        };
+        let name = server.announcement.server.clone();
+        let mut effects = self.count_crash(&name, now);
+        effects.extend(self.server_gone(incarnation, now));
+        effects
+    }
+
+    fn count_crash(&mut self, server: &ServerName, now: Instant) -> Vec<Effect> {
+        let crashes = self.suspects.crashed(server, now);
+        let some = Some(crashes).filter(|crashes| !crashes.is_empty());
+        some.map(Effect::Crashed).into_iter().collect()
+    }
+
     fn announced(&mut self, announcement: &Announcement, now: Instant) -> Vec<Effect> {
         let lease_until = now + ANNOUNCE_LEASE;
         let before = self.server.replace(OwnServer {
@@ -259,6 +326,10 @@
             .as_ref()
             .is_none_or(|server| server.announcement.incarnation != announcement.incarnation);
         let mut effects = slot_effects(self.admission.resize(announcement.slots, now));
+        if restarted && before.is_some() {
+            // It restarted before anybody saw it gone; runs of its last start are still kept.
+            effects.extend(self.count_crash(&announcement.server, now));
+        }
         if restarted && !self.draining {
             self.admission.cold_start(now);
         }
@@ -286,6 +357,7 @@
             let incarnation = server.announcement.incarnation;
             return self.server_gone(incarnation, now);
         }
+        self.suspects.expire(now);
         slot_effects(self.admission.tick(now))
     }
 }
--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -22,9 +22,10 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        thread::{self, JoinHandle},
     },
     tokio::{
-        runtime::{Builder, Runtime},
+        runtime::Builder,
         sync::Notify,
         time::{Duration, sleep},
     },
@@ -77,7 +78,7 @@
 pub struct StandIn {
     address: SocketAddr,
     state: Arc<State>,
-    runtime: Option<Runtime>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl std::fmt::Debug for StandIn {
@@ -116,21 +117,17 @@
             crash: Notify::new(),
         });
         let shared = Arc::clone(&state);
-        runtime.spawn(async move {
-            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
-                return;
-            };
-            let server = serve::serve(listener, {
-                let state = Arc::clone(&shared);
-                move |req, _| answer(Arc::clone(&state), req)
-            });
-            announce_forever(&shared).await;
-            drop(server);
-        });
+        let thread = thread::Builder::new()
+            .name("stand-in".to_owned())
+            .spawn(move || {
+                runtime.block_on(run(&shared, listener));
+                runtime.shutdown_background();
+            })
+            .map_err(bind_error)?;
         Ok(Self {
             address,
             state,
-            runtime: Some(runtime),
+            thread: Some(thread),
         })
     }
 
@@ -149,18 +146,21 @@
         self.state.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the server runs; a request to `/crash` ends it.
+    pub fn is_running(&self) -> bool {
+        self.thread
+            .as_ref()
+            .is_some_and(|thread| !thread.is_finished())
+    }
+
     /// Ends the server and all its connections at once.
     pub fn crash(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+        self.state.crash.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A stand-in that panicked has ended too.
+            let _ended = thread.join();
         }
     }
-
-    /// Waits until a request to `/crash` came, and then crashes.
-    pub async fn crash_on_request(&mut self) {
-        self.state.crash.notified().await;
-        self.crash();
-    }
 }
 
 impl Drop for StandIn {
@@ -169,6 +169,19 @@
     }
 }
 
+/// Serves and announces until the server crashes.
+async fn run(state: &Arc<State>, listener: std::net::TcpListener) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    let shared = Arc::clone(state);
+    let _server = serve::serve(listener, move |req, _| answer(Arc::clone(&shared), req));
+    tokio::select! {
+        () = announce_forever(state) => {}
+        () = state.crash.notified() => {}
+    }
+}
+
 async fn announce_forever(state: &State) {
     loop {
         if let Err(e) = announce(state).await {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
         body::{self, Body},
         http_client,
         model::{Digest, ServerState},
-        operator_api::{EDITS, EditRequest, STATUS, StatusAnswer},
+        operator_api::{EDITS, EXPLAIN, EditRequest, ExplainAnswer, STATUS, StatusAnswer},
         stand_in::{Echo, Runs, StandIn, StandInConfig},
     },
     bytes::Bytes,
@@ -99,6 +99,10 @@
         serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
     }
 
+    pub fn reason(&self) -> Option<&str> {
+        self.headers.get("anvilbeam-reason")?.to_str().ok()
+    }
+
     pub fn outcome(&self) -> Option<&str> {
         self.headers.get("anvilbeam-outcome")?.to_str().ok()
     }
@@ -335,6 +339,29 @@
         None
     }
 
+    /// Waits until the daemon at `at` knows `servers` backend servers for a grant.
+    pub async fn await_candidates(&self, at: usize, plan: &str, service: &str, servers: usize) {
+        let started = Instant::now();
+        loop {
+            let req = Request::get(format!("{EXPLAIN}?plan={plan}&service={service}"))
+                .header(header::HOST, "daemon")
+                .body(body::empty())
+                .unwrap();
+            let answer = send(self.ports[at].local, req).await;
+            let explained = answer
+                .ok()
+                .and_then(|answer| serde_json::from_slice::<ExplainAnswer>(&answer.body).ok());
+            if explained.is_some_and(|explained| explained.candidates.len() == servers) {
+                return;
+            }
+            assert!(
+                started.elapsed() < PATIENCE,
+                "daemon {at} does not know all servers"
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Sends one request to the daemon at `at`.
     pub async fn call(
         &self,
