Leave the tree at shutdown and measure the time that daemons add

Cause: a stopping relay waited for the streams to its children, which never end, and the metric of the added latency was never set. Change: a stopping daemon closes these streams; an owner daemon tells how long its backend server took, and the entry daemon records the rest. The duration of an upload no longer counts as the latency of its server.

--- a/src/call.rs
+++ b/src/call.rs
@@ -32,6 +32,8 @@
 pub const VERSION: HeaderName = HeaderName::from_static("anvilbeam-version");
 /// Header with the name of the daemon that sends a call.
 pub const DAEMON: HeaderName = HeaderName::from_static("anvilbeam-daemon");
+/// Header with the microseconds that the backend server took, from an owner daemon.
+pub const SERVER_US: HeaderName = HeaderName::from_static("anvilbeam-server-us");
 /// Header that tells the owner daemon that the body has no length limit in time.
 pub const STREAMED: HeaderName = HeaderName::from_static("anvilbeam-streamed");
 /// Standard header with the idempotency key.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -149,6 +149,8 @@
         for task in &self.tasks {
             task.abort();
         }
+        // Streams to children never end by themselves.
+        self.tree.leave();
         let peer = self.peer.shutdown(deadline).await;
         self.local.shutdown(deadline).await;
         log_event!(LogEvent::Stopped, name = self.shared.cfg.name);
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -90,7 +90,12 @@
 }
 
 impl Forwarding<'_> {
-    pub(super) async fn run(mut self, mut call: Box<Call>, mut choice: Choice) -> Response<Body> {
+    pub(super) async fn run(
+        mut self,
+        mut call: Box<Call>,
+        mut choice: Choice,
+        arrived: Instant,
+    ) -> Response<Body> {
         loop {
             log_event!(
                 LogEvent::CallRouted,
@@ -108,8 +113,9 @@
             let sent = self.send(&call, &choice).await;
             pending.end();
             let failed = match sent {
-                Sent::Answer(response) => {
+                Sent::Answer(mut response) => {
                     self.answered(&call, &choice, &response, pending.since);
+                    self.record_added(&call, &mut response, arrived);
                     return response;
                 }
                 Sent::Failure(failed) => failed,
@@ -143,14 +149,28 @@
         }
     }
 
+    /// Records the time that was spent outside of the backend server.
+    fn record_added(&self, call: &Call, response: &mut Response<Body>, arrived: Instant) {
+        let took = response.headers_mut().remove(call::SERVER_US);
+        let took = took.and_then(|value| value.to_str().ok()?.parse().ok());
+        if call.streamed {
+            return;
+        }
+        // An answer from the claims group took no server's time.
+        let server = took.map_or(Duration::ZERO, Duration::from_micros);
+        let added = arrived.elapsed().saturating_sub(server);
+        self.shared.metrics.added_latency(added);
+    }
+
     fn answered(&self, call: &Call, choice: &Choice, response: &Response<Body>, since: Instant) {
         let failed = response.status().is_server_error();
         let attempt = Attempt {
             choice,
-            outcome: if failed {
-                balance::Outcome::Failed
-            } else {
-                balance::Outcome::Succeeded
+            outcome: match (failed, call.streamed) {
+                (true, _) => balance::Outcome::Failed,
+                // The time of an upload tells more about the caller than about the server.
+                (false, true) => balance::Outcome::Neutral,
+                (false, false) => balance::Outcome::Succeeded,
             },
             since,
         };
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -92,7 +92,7 @@
                 replay,
                 tried: Vec::new(),
             };
-            forwarding.run(call, choice).await
+            forwarding.run(call, choice, now).await
         }
         Err(refusal) => {
             drop(Pending::new(&shared, choice));
--- a/src/daemon/order.rs
+++ b/src/daemon/order.rs
@@ -233,5 +233,6 @@
         }
     }
     call::strip_hop_by_hop(response.headers_mut());
+    call::strip_own(response.headers_mut());
     Ok(response)
 }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -19,7 +19,11 @@
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout_at,
 };
 
@@ -186,6 +190,7 @@
 pub(super) struct Answer {
     pub(super) response: Response<Incoming>,
     connection: InUse,
+    took: Duration,
 }
 
 /// Sends the request to the own backend server.
@@ -203,6 +208,7 @@
     };
     let patience = prepare(call, &mut req);
     let backend = shared.backend(address);
+    let sent = Instant::now();
     match backend.send(req, call.idempotent, &patience).await {
         Ok((response, connection)) if is_shed(&response) => {
             connection.hand_back();
@@ -214,6 +220,7 @@
         Ok((response, connection)) => Ok(Answer {
             response,
             connection,
+            took: sent.elapsed(),
         }),
         Err(CallError::NotRun(reason)) => {
             shared.dispatch(None, Event::ServerGone { incarnation });
@@ -279,10 +286,13 @@
     let Answer {
         response,
         connection,
+        took,
     } = answer;
     let (mut parts, incoming) = response.into_parts();
     call::strip_hop_by_hop(&mut parts.headers);
     call::strip_own(&mut parts.headers);
+    let took_us = took.as_micros() as u64;
+    parts.headers.insert(call::SERVER_US, took_us.into());
     let watched = Watched::new(body::boxed(incoming), Progress::new(), move |ending| {
         if ending == Ending::Complete {
             connection.hand_back();
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Leaves the tree: children look for another parent, and the own parent's stream ends.
+    pub fn leave(&self) {
+        self.children.close_all();
+        for (_, (_, reader)) in self.parents().drain(..) {
+            reader.abort();
+        }
+    }
+
     /// Passes the own backend server on.
     pub fn announce(self: &Arc<Self>) {
         let endpoints = self.shared.own_endpoint().into_iter().collect();
