--- a/src/control.rs
+++ b/src/control.rs
@@ -2,7 +2,9 @@
 
 mod claims;
 mod config;
+mod health;
 mod identity;
+mod members;
 mod operators;
 mod replication;
 mod tree;
--- /dev/null
+++ b/src/control/health.rs
@@ -0,0 +1,43 @@
+//! Health and metrics of a config replica, on the operator port and without a token.
+
+use {
+    super::config::ConfigReplica,
+    crate::{
+        api::{self, Answer, Ask, Route},
+        metrics::{Direction, Link, Metrics},
+    },
+    gotham::{prelude::*, router::builder::RouterBuilder},
+    http::StatusCode,
+    std::sync::Arc,
+};
+
+/// Adds the routes to the router of the operator port.
+pub(super) fn routes(route: &mut RouterBuilder<'_, (), ()>, replica: &Arc<ConfigReplica>) {
+    let to = |answer| Route::new(Arc::clone(replica), answer);
+    route.get("/healthz").to_new_handler(to(health));
+    route.get("/readyz").to_new_handler(to(ready));
+    route.get("/metrics").to_new_handler(to(metrics));
+}
+
+fn health(_replica: Arc<ConfigReplica>, _ask: Ask) -> Answer {
+    Box::pin(async { api::text(StatusCode::OK, "ok\n") })
+}
+
+/// A replica is ready when it knows a leader.
+fn ready(replica: Arc<ConfigReplica>, _ask: Ask) -> Answer {
+    Box::pin(async move {
+        match replica.handle.status().leader {
+            Some(leader) => api::text(StatusCode::OK, &format!("leader {}\n", leader.name)),
+            None => api::text(StatusCode::SERVICE_UNAVAILABLE, "no leader\n"),
+        }
+    })
+}
+
+fn metrics(replica: Arc<ConfigReplica>, _ask: Ask) -> Answer {
+    Box::pin(async move {
+        let metrics = Metrics::new();
+        metrics.version(replica.tree.version());
+        metrics.control_bytes(Link::Children, Direction::Out, replica.tree.sent());
+        api::text(StatusCode::OK, &metrics.text())
+    })
+}
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -308,6 +308,11 @@
         parts.collect()
     }
 
+    /// The newest version that this replica holds.
+    pub fn version(&self) -> Version {
+        self.content().store.version()
+    }
+
     /// Bytes sent to children so far.
     pub fn sent(&self) -> u64 {
         self.streams.sent()
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -51,6 +51,14 @@
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
         if let Some(choice) = self.choice.take() {
+            log_event!(
+                LogEvent::CallCancelled,
+                server = choice.endpoint.server,
+                rank = choice.rank,
+            );
+            self.shared
+                .metrics
+                .call(choice.rank, CallOutcome::Cancelled);
             let attempt = Attempt {
                 choice: &choice,
                 outcome: balance::Outcome::Neutral,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -95,8 +95,9 @@
             forwarding.run(call, choice, now).await
         }
         Err(refusal) => {
+            // The caller broke its body off, which counts as a cancelled call.
             drop(Pending::new(&shared, choice));
-            refuse(&shared, id, Some(&call), &refusal)
+            refusal.response(now)
         }
     }
 }
