Let operators replace a replica of a claims group

Cause: a claims replica whose disk was lost could not be replaced, so a second loss would have stopped all orders of its region. Change: members takes --of with the address of a replica of the group; the config replica passes the question on. Seen: the test a_second_loss_after_a_repair_keeps_the_answers passes with separate processes: the first answer comes again and each order ran once.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -196,13 +196,23 @@
 #[derive(Debug, Options)]
 pub enum MembersCommand {
     /// show the replicas
-    List(NoOptions),
+    List(ListMembers),
     /// add a replica as a learner; it votes once it has caught up
     Add(AddMember),
     /// remove a replica for good
     Remove(RemoveMember),
 }
 
+/// Shows the replicas of a group.
+#[derive(Debug, Default, Options)]
+pub struct ListMembers {
+    /// print this help
+    pub help: bool,
+    /// peer address of a replica of the claims group that is meant; default: the config group
+    #[options(no_short, meta = "ADDR")]
+    pub of: Option<String>,
+}
+
 /// Adds a replica as a learner, which votes once it has caught up.
 #[derive(Debug, Default, Options)]
 pub struct AddMember {
@@ -214,6 +224,9 @@
     /// peer address of the replica
     #[options(free)]
     pub address: Option<String>,
+    /// peer address of a replica of the claims group that is meant; default: the config group
+    #[options(no_short, meta = "ADDR")]
+    pub of: Option<String>,
 }
 
 /// Removes a replica for good; its disk cannot join again.
@@ -227,6 +240,9 @@
     /// id of the replica; needed when two replicas have had the name
     #[options(no_short, meta = "ID")]
     pub id: Option<String>,
+    /// peer address of a replica of the claims group that is meant; default: the config group
+    #[options(no_short, meta = "ADDR")]
+    pub of: Option<String>,
 }
 
 /// Runs all roles with stand-in backend servers on loopback, in this process.
--- a/src/control.rs
+++ b/src/control.rs
@@ -95,6 +95,7 @@
 #[derive(Debug)]
 struct PeerPort {
     identity: Identity,
+    client: Client,
     role: OnceLock<Role>,
 }
 
@@ -109,7 +110,7 @@
         }
         match self.role.get() {
             Some(Role::Config(replica)) => replica.handle_peer(req).await,
-            Some(Role::Claims(handle)) => claims::handle(handle, req).await,
+            Some(Role::Claims(handle)) => claims::handle(handle, &self.client, req).await,
             None => peer::status(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
@@ -156,6 +157,7 @@
                 members: Vec::new(),
                 operator_address,
             },
+            client: client.clone(),
             role: OnceLock::new(),
         });
         // The others ask for the identity while this replica asks for theirs.
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -1,7 +1,7 @@
 //! A replica of a claims group: idempotency keys of one home region.
 
 use {
-    super::replication,
+    super::{members, replication},
     crate::{
         body::Body,
         claim_client::{CLAIM_PATH, ClaimAnswer},
@@ -34,9 +34,14 @@
 }
 
 /// Answers one request on the peer port.
-pub(super) async fn handle(handle: &Handle<Claims>, req: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(
+    handle: &Handle<Claims>,
+    client: &Client,
+    req: Request<Incoming>,
+) -> Response<Body> {
     match req.uri().path() {
         super::RAFT_PATH => replication::receive(handle, req).await,
+        members::MEMBERS_PATH => members::answer_peer(handle, client, req).await,
         CLAIM_PATH => match peer::read_message::<Command>(req).await {
             Ok(command) => peer::message_response(&decide(handle, command).await),
             Err(e) => {
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -5,7 +5,7 @@
         claims::clock_ms,
         config::ConfigReplica,
         health, identity,
-        members::{get_members, leader, members, post_members},
+        members::{self, get_members, post_members},
     },
     crate::{
         api::{self, Answer, Ask, Route},
@@ -141,7 +141,7 @@
     Failure::new(StatusCode::SERVICE_UNAVAILABLE, &answer)
 }
 
-pub(super) async fn current(replica: &ConfigReplica) -> Result<Arc<Config>, Failure> {
+async fn current(replica: &ConfigReplica) -> Result<Arc<Config>, Failure> {
     match replica
         .handle
         .read(|state| Arc::clone(state.store().config()))
@@ -344,10 +344,11 @@
 
 async fn get_status(replica: Arc<ConfigReplica>, _ask: Ask) -> Result<Response<Body>, Failure> {
     let cfg = current(&replica).await?;
+    let group = members::show(&replica.handle);
     let answer = StatusAnswer {
         version: cfg.version.0,
-        leader: leader(&replica),
-        members: members(&replica),
+        leader: group.leader,
+        members: group.members,
         data_centres: replica.tree.status(),
     };
     Ok(api::json(StatusCode::OK, &answer))
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -138,25 +138,31 @@
             let answer: ExplainAnswer = client.get_from(*daemon, &path).await?;
             print(out, form, &answer, show::explain)
         }
-        Command::MembersList => {
-            let answer: MembersAnswer = client.get(operator_api::MEMBERS).await?;
+        Command::MembersList { of } => {
+            let path = match of {
+                Some(of) => format!("{}?of={of}", operator_api::MEMBERS),
+                None => operator_api::MEMBERS.to_owned(),
+            };
+            let answer: MembersAnswer = client.get(&path).await?;
             print(out, form, &answer, show::members)
         }
-        Command::MembersAdd { name, address } => {
+        Command::MembersAdd { name, address, of } => {
             let request = MemberRequest {
                 action: MemberAction::Add,
                 name: name.clone(),
                 address: Some(address.to_string()),
                 id: None,
+                of: of.map(|of| of.to_string()),
             };
             change_members(client, &request, form, out).await
         }
-        Command::MembersRemove { name, id } => {
+        Command::MembersRemove { name, id, of } => {
             let request = MemberRequest {
                 action: MemberAction::Remove,
                 name: name.clone(),
                 address: None,
                 id: *id,
+                of: of.map(|of| of.to_string()),
             };
             change_members(client, &request, form, out).await
         }
--- a/src/operator_api.rs
+++ b/src/operator_api.rs
@@ -169,6 +169,9 @@
     pub address: Option<String>,
     /// Identity; names which replica of that name is meant.
     pub id: Option<u64>,
+    /// Peer address of a replica of the group that is meant; the config group without it.
+    #[serde(default)]
+    pub of: Option<String>,
 }
 
 /// How a daemon would route a call.
--- a/src/options.rs
+++ b/src/options.rs
@@ -102,13 +102,18 @@
         daemon: SocketAddr,
     },
     /// Show the replicas.
-    MembersList,
+    MembersList {
+        /// Replica of the group that is meant; the config group without it.
+        of: Option<SocketAddr>,
+    },
     /// Add a replica.
     MembersAdd {
         /// Its name.
         name: String,
         /// Its peer address.
         address: SocketAddr,
+        /// Replica of the group that is meant; the config group without it.
+        of: Option<SocketAddr>,
     },
     /// Remove a replica.
     MembersRemove {
@@ -116,6 +121,8 @@
         name: String,
         /// Its id.
         id: Option<u64>,
+        /// Replica of the group that is meant; the config group without it.
+        of: Option<SocketAddr>,
     },
     /// Run all roles in this process.
     Dev {
--- a/src/options/commands.rs
+++ b/src/options/commands.rs
@@ -8,7 +8,7 @@
         lists::List,
         settings::parse_duration,
     },
-    std::path::PathBuf,
+    std::{net::SocketAddr, path::PathBuf},
 };
 
 pub(super) fn check_command(command: CliCommand) -> Result<Command> {
@@ -131,17 +131,25 @@
         ));
     };
     match command {
-        MembersCommand::List(_) => Ok(Command::MembersList),
+        MembersCommand::List(cli) => Ok(Command::MembersList { of: group(cli.of)? }),
         MembersCommand::Add(cli) => Ok(Command::MembersAdd {
             name: name("NAME", cli.name)?,
             address: value("ADDRESS", cli.address, "ip:port")?,
+            of: group(cli.of)?,
         }),
         MembersCommand::Remove(cli) => {
             let id = cli.id.map(|text| value("--id", Some(text), "a number"));
             Ok(Command::MembersRemove {
                 name: name("NAME", cli.name)?,
                 id: id.transpose()?,
+                of: group(cli.of)?,
             })
         }
     }
 }
+
+/// The group that `--of` names.
+fn group(of: Option<String>) -> Result<Option<SocketAddr>> {
+    let address = of.map(|text| value("--of", Some(text), "ip:port"));
+    address.transpose()
+}
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -74,12 +74,13 @@
             Command::Put(full),
         ),
         ("status", Command::Status),
-        ("members list", Command::MembersList),
+        ("members list", Command::MembersList { of: None }),
         (
-            "members add c4 127.0.0.1:9",
+            "members add c4 127.0.0.1:9 --of 127.0.0.1:9",
             Command::MembersAdd {
                 name: "c4".to_owned(),
                 address,
+                of: Some(address),
             },
         ),
         (
@@ -87,6 +88,7 @@
             Command::MembersRemove {
                 name: "c4".to_owned(),
                 id: Some(8),
+                of: None,
             },
         ),
         ("dev --check", Command::Dev { check: true }),
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,82 @@
+//! Replacement of a claims replica whose disk was lost.
+
+mod support;
+
+use {
+    anvilbeam::operator_api::{MEMBERS, MemberAction, MemberRequest, MembersAnswer},
+    http::{Request, StatusCode},
+    std::{fs, time::Duration},
+    support::{Answer, Mesh, PATIENCE, grants, plans, request, send},
+    tokio::time::{Instant, sleep},
+};
+
+async fn order(mesh: &Mesh, key: &str) -> Answer {
+    let req: Request<_> = request("POST", "issuance", "/orders", "boards-key")
+        .header("idempotency-key", key)
+        .body(anvilbeam::body::full("one order"))
+        .unwrap();
+    send(mesh.ports[0].callers, req).await.unwrap()
+}
+
+/// Sends an order until it is answered; an order that was not run may be sent again.
+async fn answered(mesh: &Mesh, key: &str) -> Answer {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let answer = order(mesh, key).await;
+        if answer.status == StatusCode::OK {
+            return answer;
+        }
+        assert_eq!(answer.outcome(), Some("not-run"), "{answer:?}");
+        assert!(Instant::now() < deadline, "last answer: {answer:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn change(mesh: &Mesh, action: MemberAction, at: usize, id: Option<u64>) -> MembersAnswer {
+    let wanted = MemberRequest {
+        action,
+        name: format!("claims-{at}"),
+        address: Some(mesh.claim_peers[at].to_string()),
+        id,
+        of: Some(mesh.claim_peers[(at + 1) % 3].to_string()),
+    };
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let answer = mesh.ask_operators("POST", MEMBERS, &wanted).await;
+        match answer {
+            Some(answer) if answer.status == StatusCode::OK => {
+                return serde_json::from_slice(&answer.body).unwrap();
+            }
+            answer => assert!(Instant::now() < deadline, "last answer: {answer:?}"),
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against orders that are lost or run twice when a claims replica loses its disk and a
+/// second one fails right after the first was replaced.
+#[tokio::test]
+async fn a_second_loss_after_a_repair_keeps_the_answers() {
+    let mut mesh = Mesh::start(3);
+    mesh.add("r1-a", "issuance", 4);
+    mesh.put(&plans(&["boards"]), &grants(&[("boards", "issuance", "")]))
+        .await;
+    mesh.await_candidates(0, "boards", "issuance", 1).await;
+    let first = answered(&mesh, "order-1").await;
+
+    mesh.claims[0].kill();
+    fs::remove_dir_all(mesh.folder.path().join("claims-0")).unwrap();
+    mesh.claims[0].start();
+    let members = change(&mesh, MemberAction::Add, 0, None).await.members;
+    let same_name = members.iter().filter(|member| member.name == "claims-0");
+    let ids: Vec<u64> = same_name.map(|member| member.id).collect();
+    assert_eq!(ids.len(), 2, "the new disk has an identity of its own");
+    change(&mesh, MemberAction::Remove, 0, Some(ids[0])).await;
+
+    mesh.claims[1].kill();
+    let again = answered(&mesh, "order-1").await;
+    assert_eq!(again.body, first.body);
+    answered(&mesh, "order-2").await;
+    let runs = mesh.runs.lock().unwrap();
+    assert_eq!((runs["order-1"], runs["order-2"]), (1, 1));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -124,7 +124,7 @@
     pub control_peers: Vec<SocketAddr>,
     pub operators: Vec<SocketAddr>,
     pub claims: Vec<Process>,
-    claim_peers: Vec<SocketAddr>,
+    pub claim_peers: Vec<SocketAddr>,
     pub daemons: Vec<Process>,
     pub ports: Vec<DaemonPorts>,
     pub servers: Vec<StandIn>,
