--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod calls;
+
 use {
     anvilbeam::{
         announce::Announcement,
