--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -1,7 +1,8 @@
 //! Latency that daemons add to a call, against calling the stand-in backend server directly.
 //!
 //! Run with `cargo run --release --example added_latency`. All parts run in this process, so the
-//! load generator, the daemons and the stand-ins share the processor.
+//! load generator, the daemons and the stand-ins share the processor. Other load on the machine
+//! disturbs the figures, the 99th percentiles most; compare rows of one run only.
 
 use {
     anvilbeam::{
--- a/src/control.rs
+++ b/src/control.rs
@@ -200,6 +200,14 @@
         self.operators.as_ref().map(Server::address)
     }
 
+    /// Distribution tree of a replica of the config group.
+    pub fn tree(&self) -> Option<&ControlTree> {
+        match &self.role {
+            Role::Config(replica) => Some(&replica.tree),
+            Role::Claims(_) => None,
+        }
+    }
+
     /// Whether the replica has stopped by itself, which it does when its disk fails.
     pub fn has_stopped(&self) -> bool {
         self.thread.is_finished()
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -20,7 +20,10 @@
     hyper::body::Incoming,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::time::{MissedTickBehavior, interval, timeout},
@@ -55,6 +58,7 @@
     handle: Handle<State>,
     content: Mutex<Content>,
     streams: ChildStreams,
+    attaches: AtomicU64,
 }
 
 impl ControlTree {
@@ -68,6 +72,7 @@
                 root: None,
             }),
             streams: ChildStreams::default(),
+            attaches: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&tree).follow_log());
         tokio::spawn(Arc::clone(&tree).tick_forever());
@@ -186,6 +191,7 @@
     }
 
     async fn attach(&self, attach: &Attach) -> AttachAnswer {
+        self.attaches.fetch_add(1, Ordering::Relaxed);
         let floor = match self.confirmed_version().await {
             Ok(floor) => floor,
             Err(leader) => return AttachAnswer::NotLeader(leader),
@@ -312,4 +318,9 @@
     pub fn sent(&self) -> u64 {
         self.streams.sent()
     }
+
+    /// Attach requests so far, refused ones included.
+    pub fn attaches(&self) -> u64 {
+        self.attaches.load(Ordering::Relaxed)
+    }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,11 @@
         body::Body,
         error::{Error, Result},
         events::Event as LogEvent,
-        log_event, peer,
+        log_event,
+        metrics::Metrics,
+        model::Version,
+        peer,
+        relays::Role,
         serve::{self, Server},
         settings,
     },
@@ -132,6 +136,21 @@
         self.peer.address()
     }
 
+    /// Version in force, if any.
+    pub fn in_force(&self) -> Option<Version> {
+        self.shared.in_force()
+    }
+
+    /// Counters of the daemon.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Place in the distribution tree.
+    pub fn role(&self) -> Role {
+        self.tree.role()
+    }
+
     /// Stops gracefully: others stop sending calls first, then the calls in flight end.
     /// Returns whether all calls had their answer.
     pub async fn stop(self) -> bool {
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -11,7 +11,7 @@
         metrics::{Direction, Link},
         model::{DaemonName, ServiceName, Version},
         peer,
-        relays::{Attach, AttachReply, Effect, Event, Member, Report, Subscribe, Uplink},
+        relays::{Attach, AttachReply, Effect, Event, Member, Report, Role, Subscribe, Uplink},
         routes::{Location, Snapshot},
         tree_wire::{
             ATTACH_PATH, AttachAnswer, ChildStreams, FETCH_PATH, Frame, REPORT_PATH,
@@ -125,6 +125,11 @@
         });
     }
 
+    /// Place in the tree.
+    pub fn role(&self) -> Role {
+        self.uplink().role()
+    }
+
     fn uplink(&self) -> MutexGuard<'_, Uplink> {
         self.uplink.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/relays/children.rs
+++ b/src/relays/children.rs
@@ -68,7 +68,7 @@
 
     /// Lowest version in force at and below a child, as it last reported.
     pub fn in_force(&self, child: &DaemonName) -> Option<Version> {
-        self.children.get(child)?.summary.lowest()
+        self.by_name.get(child)?.summary.lowest()
     }
 
     /// Answers a subscription at a process of `level`.
