--- /dev/null
+++ b/examples/slopes/calls.rs
@@ -0,0 +1,128 @@
+//! Processor time that the reducers of a daemon take for one call.
+
+use {
+    super::{
+        micros, timed,
+        tree::{Daemon, grant, store},
+    },
+    anvilbeam::{
+        admission,
+        announce::Announcement,
+        balance,
+        daemon::{
+            event::{Attempt, Effect, Event, Head},
+            state::State,
+        },
+        model::ServerState,
+        relays::Role,
+        routes::{Location, Snapshot},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const CALLS: usize = 200_000;
+
+pub fn run() {
+    println!(
+        "reducers per call (us): entry daemon (key, route, choice, outcome), owner daemon (slot taken and returned)"
+    );
+    println!("grants endpoints   entry   owner");
+    for (grants, endpoints) in [(500, 100), (2_000, 1_000), (5_000, 2_600)] {
+        let daemon = Daemon::start(Role::Leaf, &store(grants), endpoints);
+        let config = daemon.uplink.in_force().expect("a version is in force");
+        let here = Location {
+            data_centre: "dc-0".into(),
+            region: "region-0".into(),
+        };
+        let sets = daemon.uplink.directory();
+        let snapshot = Snapshot::build(Arc::clone(config), sets.iter(), here);
+        let mut state = State::new(daemon.now);
+        state.handle(Event::Routed(Arc::new(snapshot)), daemon.now, 7);
+        announce(&mut state, &daemon);
+        let (entry, calls) = entry(&mut state, &daemon, grants);
+        let owner = owner(&mut state, &daemon, calls);
+        println!("{grants:>6} {endpoints:>9} {entry:>7.2} {owner:>7.2}");
+    }
+}
+
+fn announce(state: &mut State, daemon: &Daemon) {
+    let announcement = Announcement {
+        server: "server-0000".into(),
+        service: grant(0, 1).service,
+        address: ([127, 0, 0, 1], 9).into(),
+        slots: 20,
+        state: ServerState::Serving,
+        incarnation: 1,
+    };
+    state.handle(Event::Announced(&announcement), daemon.now, 7);
+}
+
+/// Microseconds at the entry daemon, and a call for the owner daemon.
+fn entry(state: &mut State, daemon: &Daemon, grants: usize) -> (f64, anvilbeam::call::Call) {
+    let now = daemon.now;
+    let heads: Vec<_> = (0..100.min(grants))
+        .map(|n| (format!("key-{n}"), grant(n, 1).service))
+        .collect();
+    let mut own = None;
+    let mut forwarded = 0;
+    let (time, ()) = timed(|| {
+        for n in 0..CALLS {
+            let (key, service) = &heads[n % heads.len()];
+            let head = Head {
+                key,
+                service: service.clone(),
+                deadline: now + Duration::from_secs(5),
+                depth: 0,
+                idempotent: true,
+                idempotency_key: None,
+                streamed: false,
+            };
+            // An odd multiplier spreads the numbers over the whole range.
+            let random = (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let event = Event::Arrived {
+                id: n as u64,
+                head: &head,
+            };
+            for effect in state.handle(event, now, random) {
+                let Effect::Forward { call, choice, .. } = effect else {
+                    continue;
+                };
+                forwarded += 1;
+                let attempt = Attempt {
+                    choice: &choice,
+                    outcome: balance::Outcome::Succeeded,
+                    since: now,
+                };
+                state.handle(Event::Answered(attempt), now, random);
+                if n == 0 {
+                    own = Some(*call);
+                }
+            }
+        }
+    });
+    assert!(forwarded > 0, "calls are routed");
+    let call = own.expect("the first call is routed");
+    (micros(time, forwarded), call)
+}
+
+fn owner(state: &mut State, daemon: &Daemon, call: anvilbeam::call::Call) -> f64 {
+    let now = daemon.now + Duration::from_secs(1);
+    let call = anvilbeam::call::Call {
+        deadline: now + Duration::from_secs(5),
+        ..call
+    };
+    let mut started = 0;
+    let (time, ()) = timed(|| {
+        for id in 0..CALLS as u64 {
+            let effects = state.handle(Event::SlotWanted { id, call: &call }, now, 7);
+            started += effects
+                .iter()
+                .filter(|effect| matches!(effect, Effect::Start { .. }))
+                .count();
+            let outcome = admission::Outcome::Done;
+            state.handle(Event::SlotDone { id, outcome }, now, 7);
+        }
+    });
+    assert_eq!(started, CALLS, "each call gets the free slot");
+    micros(time, CALLS)
+}
--- /dev/null
+++ b/examples/slopes/limits.rs
@@ -0,0 +1,70 @@
+//! Bytes and processor time of the shares of plan capacity.
+
+use {
+    super::{micros, timed},
+    anvilbeam::{
+        limits::{Child, Demand, Level, REPORT_INTERVAL, Relay, Shares, Supply},
+        wire,
+    },
+    std::time::Instant,
+};
+
+const ROUNDS: u64 = 40;
+
+pub fn run() {
+    println!(
+        "plan capacity, one grant: children with demand, us per report at a data centre relay, bytes of report and of answer"
+    );
+    for children in [50, 150, 325] {
+        measure(children);
+    }
+}
+
+fn measure(children: usize) {
+    let mut now = Instant::now();
+    let root = Child::new("dc-0", 1);
+    let mut parent = Shares::new(Level::relay(), Supply::root(100_000), now);
+    let mut relay = Relay::new(Level::relay(), now);
+    let names: Vec<_> = (0..children)
+        .map(|n| Child::new(&format!("daemon-{n:04}"), 1))
+        .collect();
+    let mut applied = vec![0; children];
+    let mut spent = std::time::Duration::ZERO;
+    let (mut up, mut down, mut answers) = (0, 0, 0);
+    for seq in 1..=ROUNDS {
+        let demand = relay.report(now);
+        for (_, share) in parent.report(&root, &demand, now) {
+            relay.apply(&share, now);
+        }
+        for n in 0..children {
+            let demand = Demand {
+                seq,
+                applied: applied[n],
+                rate: 100_000 + n as u64,
+                wants: 0,
+                settled: true,
+            };
+            up += wire::encode(&demand).expect("a report fits").len();
+            let (time, out) = timed(|| relay.child_report(&names[n], &demand, now));
+            spent += time;
+            for (child, share) in out {
+                down += wire::encode(&share).expect("a share fits").len();
+                answers += 1;
+                if child == names[n] {
+                    applied[n] = share.number;
+                }
+            }
+        }
+        now += REPORT_INTERVAL;
+        relay.tick(now);
+        parent.tick(now);
+    }
+    let reports = children * ROUNDS as usize;
+    println!(
+        "{children:>8} {:>8.2} {:>6} {:>6}   {:.2} answers per report",
+        micros(spent, reports),
+        up / reports,
+        down / answers.max(1),
+        answers as f64 / reports as f64,
+    );
+}
