Close the connection to control after an attach request

Cause: each daemon kept its connection to control open, and both ends pinged it each second: 68 B/s of TCP payload per daemon, most of it across regions. Change: a daemon whose parent is another daemon drops the connection once the attach request is answered. Region relays keep theirs.

--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -11,7 +11,9 @@
         metrics::{Direction, Link},
         model::{DaemonName, ServiceName, Version},
         peer,
-        relays::{Attach, AttachReply, Effect, Event, Member, Report, Role, Subscribe, Uplink},
+        relays::{
+            Attach, AttachReply, Effect, Event, Member, Parent, Report, Role, Subscribe, Uplink,
+        },
         routes::{Location, Snapshot},
         tree_wire::{
             ATTACH_PATH, AttachAnswer, ChildStreams, FETCH_PATH, Frame, REPORT_PATH,
@@ -305,6 +307,13 @@
                 log_event!(LogEvent::RelayLeaseGranted, epoch = epoch, from = address);
             }
         }
+        if let Some(AttachReply::Attached(attached)) = &reply
+            && attached.parent != Parent::Control
+        {
+            // Pings on an idle connection to control cost more bytes than edits, and most of
+            // these connections cross regions.
+            self.shared.client.retain(|held| held != address);
+        }
         self.step(Event::Attach { control, reply });
     }
 
