--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -222,7 +222,8 @@
     assert!(received.lock().unwrap().is_empty());
     let done = run_at(&[second], "members remove c4 --id 8", Duration::ZERO).await;
     assert_eq!(done.exit, Exit::Done);
-    let expected = json!({ "action": "remove", "name": "c4", "address": null, "id": 8 });
+    let expected =
+        json!({ "action": "remove", "name": "c4", "address": null, "id": 8, "of": null });
     assert_eq!(received.lock().unwrap()[0].2, expected);
 }
 
