Answer an order that is refused from what its earlier sends left

Cause: a resend of an order was refused as not run (by a busy suspect, a full queue, a missing grant) although its first send had run or may have run. What was ruled out: a claim before each refusal, since a claim and its release cost two writes for each refused order; a confirmed read costs one round. Change: the entry daemon asks the claims group before it says that an order was not run; a known order gets its first answer or an unknown outcome. An order that waits for a slot is dropped with its caller, and suspects are checked after the claim. Seen: an_order_whose_owner_or_server_is_lost_never_runs_again printed left: Some("not-run") right: Some("unknown") before, and passes now. Left: of two sends at the same moment one may be refused as not run while the claim of the other is on its way.

--- a/src/claim_client.rs
+++ b/src/claim_client.rs
@@ -7,7 +7,7 @@
         model::{DaemonName, Digest},
         peer::Client,
     },
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
         sync::{
@@ -21,6 +21,10 @@
 
 /// Path of the peer port that takes commands of a claims group.
 pub const CLAIM_PATH: &str = "/claim";
+/// Path of the peer port that tells what is known of a key.
+pub const PEEK_PATH: &str = "/claim-state";
+/// Longest wait for the state of a key, after which a refused order has an unknown outcome.
+const PEEK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for one replica of the group; an election takes 1 to 2 s.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after a replica that does not lead.
@@ -41,6 +45,15 @@
     Lost,
 }
 
+/// Answer of a replica to a question for a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeekAnswer {
+    /// What the group knows; `None` when no try holds or held the key.
+    Known(Option<Reply>),
+    /// Another replica leads.
+    NotLeader(Option<SocketAddr>),
+}
+
 /// Result of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Claimed {
@@ -140,8 +153,48 @@
         }
     }
 
-    /// Asks the replicas in turn until one that leads decides.
+    /// What the group knows of a key; `None` when no try holds or held it.
+    ///
+    /// # Errors
+    /// [`Error::Peer`] when no leader answered in time.
+    pub async fn peek(&self, key: ClaimKey) -> Result<Option<Reply>> {
+        let deadline = Instant::now() + PEEK_TIMEOUT;
+        self.ask(
+            "ask for key",
+            PEEK_PATH,
+            &key,
+            deadline,
+            |answer| match answer {
+                PeekAnswer::Known(reply) => Ok(reply),
+                PeekAnswer::NotLeader(leader) => Err(leader),
+            },
+        )
+        .await
+    }
+
     async fn run(&self, step: &'static str, command: &Command, deadline: Instant) -> Result<Reply> {
+        self.ask(step, CLAIM_PATH, command, deadline, |answer| match answer {
+            ClaimAnswer::Reply(reply) => Ok(reply),
+            ClaimAnswer::NotLeader(leader) => Err(leader),
+            ClaimAnswer::Lost => Err(None),
+        })
+        .await
+    }
+
+    /// Asks the replicas in turn until one that leads decides; `decided` gives the decision, or
+    /// the leader if the replica names one.
+    async fn ask<Q, A, D>(
+        &self,
+        step: &'static str,
+        path: &str,
+        question: &Q,
+        deadline: Instant,
+        decided: impl Fn(A) -> std::result::Result<D, Option<SocketAddr>>,
+    ) -> Result<D>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
         let mut at = self.last.load(Ordering::Relaxed);
         let mut hint = None;
         let mut reason = "the region has no claims group in the settings".to_owned();
@@ -153,18 +206,17 @@
             let limit = deadline.min(Instant::now() + ASK_TIMEOUT);
             let asked = self
                 .client
-                .ask::<_, ClaimAnswer>(step, address, CLAIM_PATH, command, limit)
+                .ask::<_, A>(step, address, path, question, limit)
                 .await;
-            match asked {
-                Ok(ClaimAnswer::Reply(reply)) => {
+            match asked.map(&decided) {
+                Ok(Ok(decision)) => {
                     self.remember(address);
-                    return Ok(reply);
+                    return Ok(decision);
                 }
-                Ok(ClaimAnswer::NotLeader(Some(leader))) if leader != address => {
-                    hint = Some(leader);
-                    reason = format!("{address} names {leader} as the leader");
+                Ok(Err(leader)) => {
+                    hint = leader.filter(|leader| *leader != address);
+                    reason = format!("{address} does not lead");
                 }
-                Ok(answer) => reason = format!("{address} answered {answer:?}"),
                 Err(e) => reason = e.to_string(),
             }
             if hint.is_none() {
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -200,6 +200,17 @@
         }
     }
 
+    /// What is known of a key, without claiming it; `None` when no try holds or held it.
+    pub fn peek(&self, key: &ClaimKey) -> Option<Reply> {
+        let record = self.records.get(key)?;
+        Some(match &record.answer {
+            Some(answer) => Reply::Done(answer.clone()),
+            None => Reply::Pending {
+                owner: record.owner.clone(),
+            },
+        })
+    }
+
     /// Count of keys that are remembered.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -4,8 +4,8 @@
     super::{members, replication},
     crate::{
         body::Body,
-        claim_client::{CLAIM_PATH, ClaimAnswer},
-        claims::{self, Claims, Command},
+        claim_client::{CLAIM_PATH, ClaimAnswer, PEEK_PATH, PeekAnswer},
+        claims::{self, ClaimKey, Claims, Command},
         error::Result,
         peer::{self, Client},
         replica::{self, Handle, Machine, Options, ProposeError},
@@ -49,10 +49,27 @@
                 peer::status(StatusCode::BAD_REQUEST)
             }
         },
+        PEEK_PATH => match peer::read_message::<ClaimKey>(req).await {
+            Ok(key) => peer::message_response(&peek(handle, key).await),
+            Err(e) => {
+                log::warn!("question for a key refused: {e}");
+                peer::status(StatusCode::BAD_REQUEST)
+            }
+        },
         _ => peer::status(StatusCode::NOT_FOUND),
     }
 }
 
+async fn peek(handle: &Handle<Claims>, key: ClaimKey) -> PeekAnswer {
+    match handle.read(move |claims| claims.peek(&key)).await {
+        Ok(known) => PeekAnswer::Known(known),
+        Err(ProposeError::NotLeader(leader)) => {
+            PeekAnswer::NotLeader(leader.map(|leader| leader.address))
+        }
+        Err(_) => PeekAnswer::NotLeader(None),
+    }
+}
+
 async fn decide(handle: &Handle<Claims>, mut command: Command) -> ClaimAnswer {
     command.stamp(clock_ms());
     let Ok(buf) = wire::encode(&command) else {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -4,6 +4,7 @@
     super::{
         attempt::{Forwarding, Pending},
         event::{CallId, Effect, Event, Head},
+        order,
         shared::Shared,
     },
     crate::{
@@ -13,6 +14,7 @@
         events::Event as LogEvent,
         log_event,
         metrics::Outcome as CallOutcome,
+        model::{PlanName, Region},
         refusal::{Outcome, Reason, Refusal},
         retry::{self, is_idempotent},
     },
@@ -72,23 +74,75 @@
 
 /// Handles one request of a caller.
 pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let (parts, incoming) = req.into_parts();
+    let response = route(&shared, &parts, incoming).await;
+    if is_idempotent(&parts.method) {
+        return response;
+    }
+    confirm(&shared, &parts, response).await
+}
+
+/// Makes sure that an order that is refused as not run was not run by an earlier send either.
+async fn confirm(shared: &Shared, parts: &Parts, response: Response<Body>) -> Response<Body> {
+    let now = Instant::now();
+    let refusal = Refusal::read(response.headers(), now);
+    let Some(refusal) = refusal.filter(may_have_run_before) else {
+        return response;
+    };
+    let Ok(Some(key)) = call::idempotency_key_of(&parts.method, &parts.headers) else {
+        return response;
+    };
+    let confirmed = match home_of(shared, parts) {
+        Some((plan, region)) => order::confirm(shared, &plan, &region, &key, &refusal).await,
+        None => Err(Refusal {
+            outcome: Outcome::Unknown,
+            ..refusal.clone()
+        }),
+    };
+    match confirmed {
+        Ok(answer) => answer,
+        // The original explains the reason better.
+        Err(confirmed) if confirmed.outcome == Outcome::NotRun => response,
+        Err(confirmed) => confirmed.response(now),
+    }
+}
+
+/// Whether the refusal says nothing about earlier sends of the same order.
+const fn may_have_run_before(refusal: &Refusal) -> bool {
+    let own_fault = matches!(
+        refusal.reason,
+        Reason::BadRequest | Reason::UnknownKey | Reason::KeyReused
+    );
+    matches!(refusal.outcome, Outcome::NotRun) && !own_fault
+}
+
+/// Plan of a request and its home region, if they are known.
+fn home_of(shared: &Shared, parts: &Parts) -> Option<(PlanName, Region)> {
+    let key = call::bearer(&parts.headers).ok()?;
+    let state = shared.state();
+    let snapshot = state.snapshot()?;
+    let plan = snapshot.authenticate(key)?;
+    let home = snapshot.config().plans.get(plan)?.home_region.clone();
+    Some((plan.clone(), home))
+}
+
+async fn route(shared: &Arc<Shared>, parts: &Parts, incoming: Incoming) -> Response<Body> {
     let now = Instant::now();
     let id = shared.call_id();
-    let (parts, incoming) = req.into_parts();
     let streamed = !is_small(&incoming);
-    let (call, choice) = match admit(&shared, id, &parts, streamed, now) {
+    let (call, choice) = match admit(shared, id, parts, streamed, now) {
         Ok(admitted) => admitted,
         Err(refusal) => {
             body::discard(body::boxed(incoming), now + DISCARD_TIME).await;
-            return refuse(&shared, id, None, &refusal);
+            return refuse(shared, id, None, &refusal);
         }
     };
-    match Replay::read(&parts, incoming).await {
+    match Replay::read(parts, incoming).await {
         Ok(replay) => {
             let forwarding = Forwarding {
-                shared: &shared,
+                shared,
                 id,
-                parts: &parts,
+                parts,
                 replay,
                 tried: Vec::new(),
             };
@@ -96,7 +150,7 @@
         }
         Err(refusal) => {
             // The caller broke its body off, which counts as a cancelled call.
-            drop(Pending::new(&shared, choice));
+            drop(Pending::new(shared, choice));
             refusal.response(now)
         }
     }
--- a/src/daemon/order.rs
+++ b/src/daemon/order.rs
@@ -12,7 +12,7 @@
         claims::{Attempt, ClaimKey, MAX_ANSWER, Reply, StoredAnswer},
         events::Event as LogEvent,
         log_event,
-        model::Digest,
+        model::{Digest, PlanName, Region},
         refusal::{Outcome, Reason, Refusal},
     },
     http::{HeaderName, HeaderValue, Request, Response, StatusCode, request::Parts},
@@ -26,20 +26,28 @@
     call: Call,
     req: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
-    let group = shared.claims.get(&call.home_region).ok_or_else(|| {
-        let detail = format!("no claims group for home region {:?}", call.home_region);
-        Refusal::not_run(Reason::ClaimsUnavailable, detail)
-    })?;
-    let text = call.idempotency_key.as_deref().unwrap_or_default();
-    let key = ClaimKey::new(&call.plan, text);
     let (request, req) = digest(&call, req).await?;
-    let mut slot = owner::acquire(&shared, &call).await?;
-    // Before the claim, so that a refused suspect leaves no claim behind.
-    slot.start_run(owner::fingerprint(&call, &req))?;
-    match group
-        .claim(key, request, &shared.cfg.name, call.deadline)
+    // A caller that goes away while its order waits takes the order with it.
+    let slot = owner::acquire(&shared, &call).await?;
+    // From here on the outcome must be recorded, whether the caller waits for it or not.
+    let order = tokio::spawn(async move { claim_and_run(&shared, slot, call, request, req).await });
+    order
         .await
-    {
+        .unwrap_or_else(|e| Err(Refusal::unknown(Reason::Failed, format!("order: {e}"))))
+}
+
+async fn claim_and_run(
+    shared: &Shared,
+    slot: Slot,
+    call: Call,
+    request: Digest,
+    req: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    let group = group_of(shared, &call.home_region)?;
+    let text = call.idempotency_key.as_deref().unwrap_or_default();
+    let key = ClaimKey::new(&call.plan, text);
+    let claimed = group.claim(key, request, &shared.cfg.name, call.deadline);
+    match claimed.await {
         Claimed::Granted(attempt) => {
             log_event!(LogEvent::ClaimGranted, plan = call.plan, key = text);
             let held = Held {
@@ -49,7 +57,7 @@
             };
             held.run(slot, &call, req).await
         }
-        Claimed::Refused(reply) => answer_from(&call, text, reply),
+        Claimed::Refused(reply) => answer_from(&call.plan, text, reply),
         Claimed::Unavailable(reason) => {
             log_event!(
                 LogEvent::ClaimsUnreachable,
@@ -71,6 +79,38 @@
     }
 }
 
+fn group_of<'a>(shared: &'a Shared, home_region: &str) -> Result<&'a ClaimGroup, Refusal> {
+    shared.claims.get(home_region).ok_or_else(|| {
+        let detail = format!("no claims group for home region {home_region:?}");
+        Refusal::not_run(Reason::ClaimsUnavailable, detail)
+    })
+}
+
+/// Checks a refusal that says that an order was not run: an earlier send of the same order may
+/// have run. Then its answer is given in place of the refusal, or the outcome is unknown.
+pub(super) async fn confirm(
+    shared: &Shared,
+    plan: &PlanName,
+    home_region: &Region,
+    key: &str,
+    refusal: &Refusal,
+) -> Result<Response<Body>, Refusal> {
+    let unknown = |reason: String| {
+        let detail = format!("{}; an earlier send may have run: {reason}", refusal.detail);
+        Refusal {
+            outcome: Outcome::Unknown,
+            detail,
+            ..refusal.clone()
+        }
+    };
+    let group = group_of(shared, home_region.as_str()).map_err(|e| unknown(e.detail))?;
+    match group.peek(ClaimKey::new(plan, key)).await {
+        Ok(None) => Err(refusal.clone()),
+        Ok(Some(reply)) => answer_from(plan, key, reply),
+        Err(e) => Err(unknown(e.to_string())),
+    }
+}
+
 /// Digest of the request: a key must not stand for two different requests.
 async fn digest(call: &Call, req: Request<Body>) -> Result<(Digest, Request<Body>), Refusal> {
     let (parts, incoming) = req.into_parts();
@@ -107,10 +147,13 @@
 impl Held<'_> {
     async fn run(
         &self,
-        slot: Slot,
+        mut slot: Slot,
         call: &Call,
         req: Request<Body>,
     ) -> Result<Response<Body>, Refusal> {
+        if let Err(refusal) = slot.start_run(owner::fingerprint(call, &req)) {
+            return Err(self.release(refusal).await);
+        }
         match owner::send(&slot, call, req).await {
             Ok(answer) => self.record(slot, call, answer).await,
             Err(refusal) if refusal.outcome == Outcome::NotRun => Err(self.release(refusal).await),
@@ -181,16 +224,16 @@
     }
 }
 
-fn answer_from(call: &Call, key: &str, reply: Reply) -> Result<Response<Body>, Refusal> {
+fn answer_from(plan: &PlanName, key: &str, reply: Reply) -> Result<Response<Body>, Refusal> {
     match reply {
         Reply::Done(answer) => {
-            log_event!(LogEvent::ClaimRepeated, plan = call.plan, key = key);
+            log_event!(LogEvent::ClaimRepeated, plan = plan, key = key);
             replay(answer)
         }
         Reply::Pending { owner } => {
             log_event!(
                 LogEvent::ClaimUnknown,
-                plan = call.plan,
+                plan = plan,
                 key = key,
                 owner = owner
             );
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -52,11 +52,7 @@
     let answered = if call.idempotent {
         run_repeatable(&shared, &call, req).await
     } else {
-        // A caller that goes away must not leave the outcome of an order unrecorded.
-        let order = tokio::spawn(order::run(Arc::clone(&shared), call, req));
-        order
-            .await
-            .unwrap_or_else(|e| Err(Refusal::unknown(Reason::Failed, format!("order: {e}"))))
+        order::run(Arc::clone(&shared), call, req).await
     };
     answered.unwrap_or_else(|refusal| {
         log_event!(
