Split large files and fuzz the frames

Change: frames of streams, and the refusals made of decisions, have modules of their own; property tests feed the decoders with arbitrary, split and damaged frames.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod crash;
+mod decision;
 mod entry;
 pub mod event;
 mod local;
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -2,16 +2,19 @@
 //! daemon it gives out the slots of its own backend server.
 
 use {
-    super::event::{Attempt, CallId, Effect, Event, Head},
+    super::{
+        decision::{no_server, route_refusal, slot_effects},
+        event::{Attempt, CallId, Effect, Event, Head},
+    },
     crate::{
         admission::{self, Admission},
         announce::Announcement,
         balance::{Balancer, Choice},
         call::Call,
-        model::{ServerName, ServerState, ServiceName},
+        model::{ServerName, ServerState},
         refusal::{Reason, Refusal},
         retry::{self, Budget, Decision, Failure, GiveUp},
-        routes::{RouteRefusal, Snapshot},
+        routes::Snapshot,
         suspects::{Fingerprint, Suspects, Verdict},
     },
     std::{
@@ -361,52 +364,3 @@
         slot_effects(self.admission.tick(now))
     }
 }
-
-fn slot_effects(effects: Vec<admission::Effect>) -> Vec<Effect> {
-    effects.into_iter().map(slot_effect).collect()
-}
-
-fn slot_effect(effect: admission::Effect) -> Effect {
-    match effect {
-        admission::Effect::Start(id) => Effect::Start { id },
-        admission::Effect::Refuse {
-            id,
-            reason,
-            retry_after,
-        } => {
-            let kind = match reason {
-                admission::Reason::QueueFull
-                | admission::Reason::Displaced
-                | admission::Reason::TooLate => Reason::Overload,
-                admission::Reason::Expired => Reason::Deadline,
-                admission::Reason::Draining => Reason::Draining,
-            };
-            let mut refusal = Refusal::not_run(kind, format!("no slot: {reason}"));
-            refusal.retry_at = retry_after;
-            Effect::Refuse { id, refusal }
-        }
-    }
-}
-
-fn no_server(service: &ServiceName) -> Refusal {
-    let detail = format!("no backend server of {service} is announced");
-    Refusal::not_run(Reason::NoServer, detail)
-}
-
-fn route_refusal(e: RouteRefusal, plan: &str, service: &ServiceName) -> Refusal {
-    match e {
-        RouteRefusal::NoGrant => Refusal::not_run(
-            Reason::NoGrant,
-            format!("plan {plan} has no grant for service {service}"),
-        ),
-        RouteRefusal::NoServerAnnounced => no_server(service),
-        RouteRefusal::NoGrantedServerAnnounced => Refusal::not_run(
-            Reason::NoServer,
-            format!("no backend server of {service} that plan {plan} may use is announced"),
-        ),
-        RouteRefusal::AllDraining => Refusal::not_run(
-            Reason::NoServer,
-            format!("all backend servers of {service} that plan {plan} may use are draining"),
-        ),
-    }
-}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,5 +1,9 @@
 //! Requests between our own processes: HTTP/2 streams that carry bincode messages or proxied calls.
 
+mod frames;
+
+pub use frames::Frames;
+
 use {
     crate::{
         body::{self, Body},
@@ -7,9 +11,7 @@
         serve::{self, CONNECTION_WINDOW, PING_INTERVAL, STREAM_WINDOW, Server},
         wire::{self, MAX_MESSAGE},
     },
-    bytes::BytesMut,
     http::{HeaderValue, Request, Response, StatusCode},
-    http_body_util::BodyExt,
     hyper::{
         body::Incoming,
         client::conn::http2::{self, SendRequest},
@@ -20,7 +22,6 @@
     std::{
         error::Error as StdError,
         fmt,
-        marker::PhantomData,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Instant,
@@ -164,14 +165,7 @@
         A: DeserializeOwned,
     {
         let response = self.post(step, address, path, question, deadline).await?;
-        Ok(Frames {
-            step,
-            address,
-            body: response.into_body(),
-            buf: BytesMut::new(),
-            received: 0,
-            kind: PhantomData,
-        })
+        Ok(Frames::new(step, address, response.into_body()))
     }
 
     async fn post<Q: Serialize>(
@@ -290,57 +284,6 @@
     text
 }
 
-/// Frames of one response.
-pub struct Frames<A> {
-    step: &'static str,
-    address: SocketAddr,
-    body: Incoming,
-    buf: BytesMut,
-    received: u64,
-    kind: PhantomData<fn() -> A>,
-}
-
-impl<A> fmt::Debug for Frames<A> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Frames")
-            .field("step", &self.step)
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
-}
-
-impl<A: DeserializeOwned> Frames<A> {
-    /// The next frame, waiting at most until `deadline`.
-    ///
-    /// # Errors
-    /// [`Error::Peer`] when the stream ends, fails or stays silent; a codec error for a bad frame.
-    pub async fn next(&mut self, deadline: Instant) -> Result<A> {
-        loop {
-            if let Some(message) = wire::next_frame(&mut self.buf)? {
-                return Ok(message);
-            }
-            let frame = timeout_at(deadline.into(), self.body.frame())
-                .await
-                .map_err(|_elapsed| self.failed("no frame in time"))?
-                .ok_or_else(|| self.failed("stream ended"))?
-                .map_err(|e| self.failed(full_reason(&e)))?;
-            if let Ok(data) = frame.into_data() {
-                self.received += data.len() as u64;
-                self.buf.extend_from_slice(&data);
-            }
-        }
-    }
-
-    /// Bytes received so far.
-    pub const fn received(&self) -> u64 {
-        self.received
-    }
-
-    fn failed(&self, reason: impl fmt::Display) -> Error {
-        peer_error(self.step, self.address, reason)
-    }
-}
-
 /// Serves a peer port; requests without the mesh token get 401 and never reach `handler`.
 ///
 /// # Errors
--- /dev/null
+++ b/src/peer/frames.rs
@@ -0,0 +1,77 @@
+//! Streams of frames that answer one request.
+
+use {
+    super::{full_reason, peer_error},
+    crate::{
+        error::{Error, Result},
+        wire,
+    },
+    bytes::BytesMut,
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    serde::de::DeserializeOwned,
+    std::{fmt, marker::PhantomData, net::SocketAddr, time::Instant},
+    tokio::time::timeout_at,
+};
+
+/// Frames of one response.
+pub struct Frames<A> {
+    step: &'static str,
+    address: SocketAddr,
+    body: Incoming,
+    buf: BytesMut,
+    received: u64,
+    kind: PhantomData<fn() -> A>,
+}
+
+impl<A> fmt::Debug for Frames<A> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Frames")
+            .field("step", &self.step)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<A: DeserializeOwned> Frames<A> {
+    pub(super) fn new(step: &'static str, address: SocketAddr, body: Incoming) -> Self {
+        Self {
+            step,
+            address,
+            body,
+            buf: BytesMut::new(),
+            received: 0,
+            kind: PhantomData,
+        }
+    }
+
+    /// The next frame, waiting at most until `deadline`.
+    ///
+    /// # Errors
+    /// [`Error::Peer`] when the stream ends, fails or stays silent; a codec error for a bad frame.
+    pub async fn next(&mut self, deadline: Instant) -> Result<A> {
+        loop {
+            if let Some(message) = wire::next_frame(&mut self.buf)? {
+                return Ok(message);
+            }
+            let frame = timeout_at(deadline.into(), self.body.frame())
+                .await
+                .map_err(|_elapsed| self.failed("no frame in time"))?
+                .ok_or_else(|| self.failed("stream ended"))?
+                .map_err(|e| self.failed(full_reason(&e)))?;
+            if let Ok(data) = frame.into_data() {
+                self.received += data.len() as u64;
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+
+    /// Bytes received so far.
+    pub const fn received(&self) -> u64 {
+        self.received
+    }
+
+    fn failed(&self, reason: impl fmt::Display) -> Error {
+        peer_error(self.step, self.address, reason)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,8 @@
 //! Encoding of messages between our processes: bincode with a size limit, in length-prefixed frames.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::error::{Error, Result},
     bytes::{Buf, BufMut, Bytes, BytesMut},
