--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -70,9 +70,24 @@
     cfg: StandInConfig,
     draining: AtomicBool,
     calls: AtomicU64,
+    cut: AtomicU64,
     crash: Notify,
 }
 
+/// A request body that is being read; counts as cut unless its end was seen.
+struct Reading<'a> {
+    state: &'a State,
+    whole: bool,
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        if !self.whole {
+            self.state.cut.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// A running stand-in.
 pub struct StandIn {
     address: SocketAddr,
@@ -113,6 +128,7 @@
             cfg,
             draining: AtomicBool::new(false),
             calls: AtomicU64::new(0),
+            cut: AtomicU64::new(0),
             crash: Notify::new(),
         });
         let shared = Arc::clone(&state);
@@ -144,6 +160,11 @@
         self.state.calls.load(Ordering::Relaxed)
     }
 
+    /// Calls whose request body did not arrive as a whole.
+    pub fn cut(&self) -> u64 {
+        self.state.cut.load(Ordering::Relaxed)
+    }
+
     /// Announces from now on that the server is leaving.
     pub fn drain(&self) {
         self.state.draining.store(true, Ordering::Relaxed);
@@ -202,6 +223,13 @@
         state.crash.notify_one();
         sleep(Duration::from_mins(1)).await;
     }
+    if let Some(ms) = query_number(&parts.uri, "stall") {
+        sleep(Duration::from_millis(ms)).await;
+    }
+    let mut reading = Reading {
+        state: &state,
+        whole: false,
+    };
     let mut received = 0;
     while let Some(frame) = incoming.frame().await {
         let Ok(frame) = frame else {
@@ -209,6 +237,8 @@
         };
         received += frame.data_ref().map_or(0, Bytes::len) as u64;
     }
+    reading.whole = true;
+    drop(reading);
     if let Some(ms) = query_number(&parts.uri, "ms") {
         sleep(Duration::from_millis(ms)).await;
     }
--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -1,11 +1,13 @@
 //! Orders, streamed bodies, waits and facts about processes, for the tests of failures.
 
 use {
-    super::{Answer, MESH_TOKEN, Mesh, PATIENCE, grants, plans, request, send},
+    super::{
+        Answer, MESH_TOKEN, Mesh, OPERATOR_TOKEN, PATIENCE, Process, grants, plans, request, send,
+    },
     anvilbeam::{
         body::{self, Body, BoxError},
         claim_client::{CLAIM_PATH, ClaimAnswer},
-        claims::{Attempt, ClaimKey, Command},
+        claims::{Attempt, ClaimKey, Command as ClaimCommand},
         operator_api::{EXPLAIN, ExplainAnswer},
         peer::Client,
     },
@@ -17,6 +19,8 @@
     std::{
         fs,
         net::SocketAddr,
+        path::Path,
+        process::{Command, Output},
         time::{Duration, Instant},
     },
     tokio::{
@@ -107,6 +111,49 @@
     number.unwrap().parse().unwrap()
 }
 
+impl Process {
+    /// The settings file.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Appends a line to the settings, or replaces the line of the same key.
+    pub fn set(&self, key: &str, value: &str) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        let start = format!("{key}:");
+        let mut lines: Vec<&str> = text.lines().filter(|l| !l.starts_with(&start)).collect();
+        let line = format!("{key}: {value}\n");
+        lines.push(&line);
+        fs::write(&self.settings, lines.join("\n")).unwrap();
+    }
+
+    /// Starts the process, which must end by itself with a failure; returns what it wrote.
+    pub async fn failure(&mut self, bootstrap: bool) -> String {
+        let log = self.settings.with_extension("log");
+        fs::write(&log, "").unwrap();
+        self.bootstrap = bootstrap;
+        self.start();
+        let mut child = self.child.take().unwrap();
+        let started = Instant::now();
+        let status = loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                break status;
+            }
+            if started.elapsed() > PATIENCE {
+                child.kill().unwrap();
+                panic!("the process goes on: {}", fs::read_to_string(&log).unwrap());
+            }
+            sleep(Duration::from_millis(20)).await;
+        };
+        let text = fs::read_to_string(&log).unwrap();
+        assert!(
+            status.code().is_some_and(|code| code != 0),
+            "{status}: {text}"
+        );
+        text
+    }
+}
+
 impl Mesh {
     /// A mesh with entry daemons, whose servers do not serve `roll`, and then owners of servers
     /// that do; returns it when each daemon sees each owner.
@@ -153,6 +200,25 @@
         send(self.ports[at].local, req.unwrap()).await.ok()
     }
 
+    /// Version that the daemon at `at` has in force; none while it is not ready.
+    pub async fn version_at(&self, at: usize) -> Option<u64> {
+        let answer = self.local(at, "/readyz").await?;
+        let text = std::str::from_utf8(&answer.body).unwrap();
+        let version = text.strip_prefix("version ")?;
+        Some(version.trim().parse().unwrap())
+    }
+
+    /// Runs the operators' program.
+    pub fn cli(&self, args: &[&str]) -> Output {
+        let control: Vec<String> = self.operators.iter().map(ToString::to_string).collect();
+        Command::new(env!("CARGO_BIN_EXE_anvilbeam"))
+            .args(["--control", &control.join(",")])
+            .args(args)
+            .env("ANVILBEAM_TOKEN", OPERATOR_TOKEN)
+            .output()
+            .unwrap()
+    }
+
     /// Sends an order through the daemon at `at`.
     pub async fn order(&self, at: usize, key: &str, path: &str) -> Answer {
         let req = order(key, path, "ten rolls");
@@ -172,7 +238,7 @@
     /// Position of the replica that leads the claims group.
     pub async fn claims_leader(&self) -> usize {
         let client = Client::new(MESH_TOKEN).unwrap();
-        let probe = Command::Release {
+        let probe = ClaimCommand::Release {
             key: ClaimKey::new(&"nobody".into(), "probe"),
             attempt: Attempt(1),
             now_ms: 0,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -406,6 +406,9 @@
 
 /// Grants from `(plan, service, servers)`; no servers mean all.
 pub fn grants(entries: &[(&str, &str, &str)]) -> String {
+    if entries.is_empty() {
+        return "grants: []\n".to_owned();
+    }
     let entry = |(plan, service, servers): &(&str, &str, &str)| {
         let servers = match *servers {
             "" => String::new(),
