Test refusals of orders under a stream of failures

200 orders run while the claims leader, an owner daemon and a backend server are lost; each "not-run" must have no run, each answer one, each "unknown" at most one, also after all were sent again.

--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -5,12 +5,13 @@
 use {
     anvilbeam::stand_in::StandIn,
     http::StatusCode,
+    std::time::Duration,
     support::{
         Mesh,
         calls::{get, order, spawn},
         send,
     },
-    tokio::join,
+    tokio::{join, time::sleep},
 };
 
 /// Guards against a second run of an order that is sent again, and of one key used for two
@@ -126,6 +127,8 @@
     }
     mesh.until_orders_go_on(0, "after-the-restart").await;
     assert_eq!(mesh.runs_of("refused"), 0);
+    let now = mesh.order(0, "refused", "/order").await;
+    assert_eq!((now.status, mesh.runs_of("refused")), (StatusCode::OK, 1));
     let again = mesh.order(0, "first", "/order").await;
     assert_eq!((again.status, again.body), (first.status, first.body));
     assert_eq!(mesh.runs_of("first"), 1);
@@ -145,3 +148,54 @@
         assert_eq!(read.status, StatusCode::OK, "{read:?}");
     }
 }
+
+/// Guards against refusals that claim "not run" of an order that runs later, and against second
+/// runs, while replicas, daemons and servers are lost under a stream of orders.
+#[tokio::test]
+async fn refusals_tell_the_truth_while_processes_are_lost() {
+    let mut mesh = Mesh::with_roll(3, 2, 4).await;
+    let leader = mesh.claims_leader().await;
+    let mut running = Vec::new();
+    for number in 0..200_usize {
+        match number {
+            40 => mesh.claims[leader].kill(),
+            80 => mesh.daemons[2].kill(),
+            120 => mesh.servers[3].crash(),
+            160 => mesh.claims[leader].start(),
+            _ => {}
+        }
+        let key = format!("order-{number}");
+        let req = order(&key, "/order?ms=50", "ten rolls");
+        running.push((key, spawn(mesh.ports[number % 2].callers, req)));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut answers = Vec::new();
+    for (key, call) in running {
+        answers.push((key, call.await.unwrap().unwrap()));
+    }
+    let answered = answers.iter().filter(|(_, a)| a.outcome().is_none());
+    assert!(answered.count() > 100, "{answers:?}");
+    for (key, answer) in &answers {
+        let runs = mesh.runs_of(key);
+        match answer.outcome() {
+            None => assert_eq!((answer.status, runs), (StatusCode::OK, 1), "{key}"),
+            Some("not-run") => assert_eq!(runs, 0, "{key}: {answer:?}"),
+            Some(_) => assert!(runs <= 1, "{key}: {runs} runs, {answer:?}"),
+        }
+    }
+    for (key, answer) in &answers {
+        let again = mesh.order(0, key, "/order?ms=50").await;
+        assert!(mesh.runs_of(key) <= 1, "{key}: {answer:?}, then {again:?}");
+        if answer.outcome().is_none() {
+            assert_eq!(again.body, answer.body, "{key}");
+        }
+        // Nothing holds the key of an order that did not run.
+        if answer.outcome() == Some("not-run") {
+            assert_eq!(
+                again.status,
+                StatusCode::OK,
+                "{key}: {answer:?}, then {again:?}"
+            );
+        }
+    }
+}
