Ping only from the client's side of a connection that works

Cause: both ends of each HTTP/2 connection pinged each second. Change: a server pings a client after 1.5 s without any frame; the client pings after 1 s, so the server's pings come only when the client's stay out. A client that has gone is noticed after 2.5 s in place of 2 s.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,8 +24,11 @@
 
 /// Longest wait for the header of an HTTP/1 request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Interval of HTTP/2 pings on connections, and the longest wait for their answer.
+/// Interval of a client's HTTP/2 pings on connections, and the longest wait for their answer.
 pub const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without any frame from a client after which a server pings it. The client's own pings
+/// come earlier, so a connection that works carries pings in one direction only.
+const SERVER_PING_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Longest time that sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Streams that one HTTP/2 connection may hold.
@@ -156,7 +159,7 @@
     builder
         .http2()
         .timer(TokioTimer::new())
-        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_interval(SERVER_PING_INTERVAL)
         .keep_alive_timeout(PING_INTERVAL)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
