Try the only server again after a lost connection

Cause: a call over a connection that had gone silent failed although its server was well, since the retry excluded the only server of the service. Change: when no other server is left, the retry goes to the same one, over a new connection; other rules of retries are unchanged. Seen: silent_connections_are_replaced printed left: 502 right: 200 (keep-alive timed out) before and passes now. With only the client's pings off it passes as well, since the server's pings notice the silence too.

--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -219,8 +219,11 @@
                     .snapshot
                     .as_ref()
                     .and_then(|snapshot| snapshot.route(&call.plan, &call.service).ok());
-                let choice =
-                    route.and_then(|route| self.balancer.pick(&route, now, random, &exclude));
+                // A lost connection may have been at fault, so the only server is tried again.
+                let choice = route.and_then(|route| {
+                    let other = self.balancer.pick(&route, now, random, &exclude);
+                    other.or_else(|| self.balancer.pick(&route, now, random, &[]))
+                });
                 match choice {
                     Some(choice) => Effect::Forward {
                         id,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -235,15 +235,28 @@
 
     /// Starts a daemon with a backend server of `service` beside it; returns its position.
     pub fn add(&mut self, data_centre: &str, service: &str, slots: u32) -> usize {
+        let peer = self.port();
+        self.add_behind(data_centre, service, slots, peer, peer)
+    }
+
+    /// As `add`, with others sent to `advertised` in place of the peer address.
+    pub fn add_behind(
+        &mut self,
+        data_centre: &str,
+        service: &str,
+        slots: u32,
+        peer: SocketAddr,
+        advertised: SocketAddr,
+    ) -> usize {
         let at = self.daemons.len();
-        let (callers, local, peer) = (self.port(), self.port(), self.port());
+        let (callers, local) = (self.port(), self.port());
         let join = |addresses: &[SocketAddr]| {
             let quoted: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
             quoted.join(", ")
         };
         let text = format!(
             "name: daemon-{at}\nregion: r1\ndata_centre: {data_centre}\ncaller_address: {callers}\n\
-             local_address: {local}\npeer_address: {peer}\ncontrol: [{}]\nclaims: {{ r1: [{}] }}\n\
+             local_address: {local}\npeer_address: {peer}\nadvertise: {advertised}\ncontrol: [{}]\nclaims: {{ r1: [{}] }}\n\
              mesh_token: {MESH_TOKEN}\n",
             join(&self.control_peers),
             join(&self.claim_peers)
