--- a/src/backend.rs
+++ b/src/backend.rs
@@ -195,7 +195,9 @@
             .await
             .map_err(|e| self.refused(e))?;
         serve::tune(&stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(serve::SEND_BUFFER)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| self.refused(e))?;
         let address = self.address;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,7 @@
     crate::{
         body::{self, Body},
         error::{Error, Result},
-        serve::{self, CONNECTION_WINDOW, PING_INTERVAL, STREAM_WINDOW, Server},
+        serve::{self, CONNECTION_WINDOW, PING_INTERVAL, SEND_BUFFER, STREAM_WINDOW, Server},
         wire::{self, MAX_MESSAGE},
     },
     bytes::BytesMut,
@@ -253,6 +253,7 @@
         .keep_alive_while_idle(true)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(SEND_BUFFER)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| format!("handshake with {address}: {e}"))?;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        body::{self, Body},
+        body::{self, Body, PROGRESS_TIMEOUT},
         error::{Error, Result},
     },
     gotham::{handler::NewHandler, service::call_handler, state::State},
@@ -26,14 +26,20 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval of HTTP/2 pings on connections, and the longest wait for their answer.
 pub const PING_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time that sent bytes may stay unacknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time that sent bytes may stay unacknowledged. The system also counts the time for which
+/// a live peer does not read; 2 s reset the connections of slow readers.
+const UNACKNOWLEDGED_TIMEOUT: Duration = PROGRESS_TIMEOUT;
 /// Streams that one HTTP/2 connection may hold.
 const MAX_STREAMS: u32 = 4096;
 /// Flow control window of one HTTP/2 stream in bytes; bounds the memory of one body.
 pub const STREAM_WINDOW: u32 = 256 * 1024;
-/// Flow control window of one HTTP/2 connection in bytes.
-pub const CONNECTION_WINDOW: u32 = 1024 * 1024;
+/// Flow control window of one HTTP/2 connection in bytes. Bodies that nobody reads use it up and
+/// then hold up all others: with 1 MiB four were enough, this takes 64.
+pub const CONNECTION_WINDOW: u32 = 64 * STREAM_WINDOW;
+
+/// Bytes of one body that wait for a slow peer; the default of 400 KiB would let 16 stalled bodies
+/// add 10 MB to a daemon.
+pub const SEND_BUFFER: usize = 64 * 1024;
 
 /// A listening server.
 #[derive(Debug)]
@@ -152,6 +158,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(SEND_BUFFER)
         .half_close(false);
     builder
         .http2()
@@ -160,6 +167,7 @@
         .keep_alive_timeout(PING_INTERVAL)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(SEND_BUFFER)
         .max_concurrent_streams(MAX_STREAMS);
     builder
 }
