Send calls while a test waits for an ejected server

The server was ejected, and only a call that tries it ends that (the explanation at the local port says "ejected for its outcomes"); the test waited without calls.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -108,5 +108,10 @@
     }
     mesh.until_usable(0, 2).await;
     mesh.daemons[lost].start();
-    mesh.until_usable(0, 3).await;
+    // An ejected server returns by a call that tries it, so waiting alone is not enough.
+    until("the server answers again", async || {
+        let answer = send(mesh.ports[0].callers, get("/entry")).await.unwrap();
+        answer.status == StatusCode::OK && answer.echo().server == format!("server-{lost}")
+    })
+    .await;
 }
