--- a/examples/slopes/claims.rs
+++ b/examples/slopes/claims.rs
@@ -13,6 +13,12 @@
 const BODY: usize = 500;
 
 pub fn run() {
+    let size = |command| wire::encode(&command).expect("a command fits").len();
+    println!(
+        "log entries: claim {} B, answer of {BODY} B {} B",
+        size(claim(0, 1 << 40)),
+        size(finish(0, BODY, 1 << 40)),
+    );
     println!(
         "claims: keys, state; memory B per key, snapshot B per key, ms to encode the snapshot, us per command with its decoding"
     );
--- /dev/null
+++ b/examples/slopes/edits.rs
@@ -0,0 +1,34 @@
+//! Processor time of one edit at the config leader, by the size of the lists.
+
+use {
+    super::{micros, timed, tree},
+    anvilbeam::lists::{self, Lists},
+};
+
+const EDITS: usize = 10;
+
+pub fn run() {
+    println!(
+        "one edit at the leader: plans and grants, bytes of both lists, ms to write the kept list, ms to check both"
+    );
+    for grants in [500, 2_000, 5_000] {
+        let store = tree::store(grants);
+        let kept = Lists::from_config(store.config());
+        let (write, plans) = timed(|| {
+            (1..EDITS).for_each(|_| drop(lists::render_plans(&kept)));
+            lists::render_plans(&kept)
+        });
+        let text = lists::render_grants(&kept);
+        let (check, valid) = timed(|| {
+            let runs = (0..EDITS).map(|_| lists::check(&plans, &text));
+            runs.flatten().count()
+        });
+        assert_eq!(valid, EDITS, "the lists are valid");
+        println!(
+            "{grants:>6} {:>9} {:>7.2} {:>7.2}",
+            plans.len() + text.len(),
+            micros(write, EDITS) / 1e3,
+            micros(check, EDITS) / 1e3,
+        );
+    }
+}
--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -1,10 +1,14 @@
 //! Measures how cost and size grow with the fleet, on the real reducers and encodings.
 //!
-//! Run with `cargo run --release --example slopes [relay|memory|claims|calls|limits]`. All code
-//! runs on one thread and without sockets; what sockets cost is in `examples/measures`.
+//! Run with `cargo run --release --example slopes [memory|claims|relay|edits|calls|limits|connections]`.
+//! All code runs on one thread, and but for `connections` without sockets.
+//! Resident memory is right only when `memory` and `claims` run alone, since a later part uses
+//! again what an earlier one has freed.
 
 mod calls;
 mod claims;
+mod connections;
+mod edits;
 mod limits;
 mod memory;
 mod relay;
@@ -17,12 +21,14 @@
 
 fn main() {
     let only = std::env::args().nth(1);
-    let parts: [(&str, fn()); 5] = [
-        ("relay", relay::run),
+    let parts: [(&str, fn()); 7] = [
         ("memory", memory::run),
         ("claims", claims::run),
+        ("relay", relay::run),
+        ("edits", edits::run),
         ("calls", calls::run),
         ("limits", limits::run),
+        ("connections", connections::run),
     ];
     for (name, run) in parts {
         if only.as_ref().is_none_or(|only| only == name) {
