Look at all children only when there is something to send

Cause: each report of a child made its relay compare what every child holds with what it has, so the time for reports grew with the square of the children. Change: the relay remembers what all children have been sent and when the next heartbeat is due, and does nothing while neither has changed.

--- a/src/relays/children.rs
+++ b/src/relays/children.rs
@@ -27,6 +27,17 @@
     by_name: IndexMap<DaemonName, Child>,
     admission: Admission,
     copies: Admission,
+    served: Option<Served>,
+}
+
+/// What all children have been sent, so that a call that has nothing to send costs the same for
+/// any number of children.
+#[derive(Clone, Debug)]
+struct Served {
+    version: Version,
+    positions: Vec<Position>,
+    /// When the next heartbeat is due.
+    heartbeat: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -48,6 +59,7 @@
             by_name: IndexMap::new(),
             admission: Admission::new(ADMITTED_PER_SECOND, now),
             copies: Admission::new(COPIES_PER_SECOND, now),
+            served: None,
         }
     }
 
@@ -101,6 +113,7 @@
             heartbeat: now,
         };
         self.by_name.insert(req.daemon.clone(), child);
+        self.served = None;
         SubscribeReply::Accepted
     }
 
@@ -115,6 +128,9 @@
         for delta in &report.sets {
             note(&mut child.positions, delta);
         }
+        if !report.sets.is_empty() {
+            self.served = None;
+        }
         true
     }
 
@@ -168,6 +184,14 @@
     ) -> Result<Vec<(DaemonName, Update)>> {
         let mut out = Vec::new();
         let positions = directory.positions();
+        let idle = |served: &Served| {
+            served.version == store.version()
+                && served.positions == positions
+                && now < served.heartbeat
+        };
+        if self.served.as_ref().is_some_and(idle) {
+            return Ok(out);
+        }
         // Children are mostly at one version, so one delta serves many.
         let mut last: Option<(Version, Vec<DeltaPart>)> = None;
         for (name, child) in &mut self.by_name {
@@ -211,6 +235,12 @@
                 child.heartbeat = now + HEARTBEAT;
             }
         }
+        let heartbeats = self.by_name.values().map(|child| child.heartbeat);
+        self.served = Some(Served {
+            version: store.version(),
+            positions,
+            heartbeat: heartbeats.min().unwrap_or(now + HEARTBEAT),
+        });
         Ok(out)
     }
 }
