Give the caller its answer while the claims group is gone

An owner daemon held the answer of an order until it was recorded, for up to 10 s. When the claims group was lost while the order ran, the entry daemon reached the deadline first and the caller got "unknown" for an order that was answered. The answer now leaves 500 ms before the deadline at the latest, and the recording goes on. Ruled out: the election, since an order that outlives the leader alone was answered before, too.

The test printed before: "the answer is held: Answer { status: 504, ... "anvilbeam-outcome": "unknown", "anvilbeam-reason": "deadline"". It passes now.

--- a/src/daemon/order.rs
+++ b/src/daemon/order.rs
@@ -17,9 +17,17 @@
     },
     http::{HeaderName, HeaderValue, Request, Response, StatusCode, request::Parts},
     hyper::body::Body as _,
-    std::sync::Arc,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
 };
 
+/// Time before the deadline at which an answer leaves, recorded or not: waiting longer for a claims
+/// group that is gone cost the caller its answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Runs one order, or answers it from what is recorded.
 pub(super) async fn run(
     shared: Arc<Shared>,
@@ -160,11 +168,24 @@
         Ok(response.map(|()| body::full(bytes)))
     }
 
+    /// Records the answer. The caller waits for that only as long as it can still get its answer;
+    /// without the record a resend learns that the outcome is unknown.
     async fn finish(&self, call: &Call, answer: StoredAnswer) {
-        // The caller gets its answer in any case; only a resend would miss it.
-        if let Err(e) = self.group.finish(self.key, self.attempt, answer).await {
-            log_event!(LogEvent::ClaimUnknown, plan = call.plan, reason = e);
-        }
+        let (group, key, attempt) = (self.group.clone(), self.key, self.attempt);
+        let plan = call.plan.clone();
+        let recording = tokio::spawn(async move {
+            if let Err(e) = group.finish(key, attempt, answer).await {
+                log_event!(LogEvent::ClaimUnknown, plan = plan, reason = e);
+            }
+        });
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let wait = if call.streamed {
+            call::MAX_TIMEOUT
+        } else {
+            left.saturating_sub(ANSWER_MARGIN)
+        };
+        // The recording goes on when the wait ends.
+        let _late = timeout(wait, recording).await;
     }
 }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -109,9 +109,18 @@
     assert_eq!(again.body, answer.body, "{again:?}");
     assert_eq!(mesh.runs_of("after-the-claim"), 1);
 
+    let running = order("during", "/order?ms=500", "ten rolls");
+    let running = spawn(mesh.ports[0].callers, running);
+    mesh.until_running("during").await;
     for replica in &mut mesh.claims {
         replica.kill();
     }
+    let answer = running.await.unwrap().unwrap();
+    assert_eq!(
+        answer.status,
+        StatusCode::OK,
+        "the answer is held: {answer:?}"
+    );
     for key in ["first", "refused"] {
         let req = order(key, "/order", "ten rolls");
         let (mut parts, body) = req.into_parts();
@@ -132,6 +141,8 @@
     let again = mesh.order(0, "first", "/order").await;
     assert_eq!((again.status, again.body), (first.status, first.body));
     assert_eq!(mesh.runs_of("first"), 1);
+    mesh.order(0, "during", "/order?ms=500").await;
+    assert_eq!(mesh.runs_of("during"), 1);
 }
 
 /// Guards against an outage of the config group that stops orders or reads.
