Test that a restarted daemon never serves an older version

All replicas but one that missed the last edit are lost, then one daemon and then all daemons restart: each must be not ready or have at least the newest version, until the group is back.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -9,9 +9,9 @@
     },
     http::StatusCode,
     serde::de::DeserializeOwned,
-    std::{fs, process::Output},
+    std::{fs, process::Output, time::Duration},
     support::{Answer, Mesh, calls::until, grants, plans},
-    tokio::join,
+    tokio::{join, time::sleep},
 };
 
 fn edit(id: &str, base_version: u64, plan: &str) -> EditRequest {
@@ -197,3 +197,60 @@
     mesh.put(&plans(&["one", "two", "three", "four"]), &grants(&[]))
         .await;
 }
+
+/// Guards against a daemon that serves an older version after a restart: it has no disk, and the
+/// only replica that it finds has missed the last edits.
+#[tokio::test]
+async fn a_restarted_daemon_never_serves_an_older_version() {
+    let mut mesh = Mesh::start(3);
+    let granted = grants(&[("clerks", "roll", "")]);
+    for _ in 0..2 {
+        mesh.add("r1-a", "roll", 4);
+    }
+    mesh.put(&plans(&["clerks"]), &granted).await;
+    let stale = follower(&mesh).await;
+    mesh.control[stale].kill();
+    let newest = mesh.put(&plans(&["clerks", "two"]), &granted).await;
+    for at in 0..2 {
+        until("the edit is in force", async || {
+            mesh.version_at(at).await == Some(newest)
+        })
+        .await;
+    }
+    for replica in &mut mesh.control {
+        replica.kill();
+    }
+    mesh.control[stale].start();
+    // With a daemon that has the newest version beside it, and then with none.
+    for restarted in [vec![1], vec![0, 1]] {
+        for at in &restarted {
+            mesh.daemons[*at].kill();
+            mesh.daemons[*at].start();
+        }
+        for _ in 0..250 {
+            check_versions(&mesh, newest).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    for replica in &mut mesh.control {
+        replica.kill();
+        replica.start();
+    }
+    for at in 0..2 {
+        until("the daemon is ready again", async || {
+            check_versions(&mesh, newest).await;
+            mesh.version_at(at).await == Some(newest)
+        })
+        .await;
+    }
+}
+
+async fn check_versions(mesh: &Mesh, newest: u64) {
+    for at in 0..mesh.daemons.len() {
+        let version = mesh.version_at(at).await;
+        assert!(
+            version.is_none_or(|v| v >= newest),
+            "daemon {at}: {version:?}"
+        );
+    }
+}
