--- a/examples/measures/main.rs
+++ b/examples/measures/main.rs
@@ -1,14 +1,20 @@
 //! Measures convergence, control bytes and restarts of a whole fleet.
 //!
 //! Run with `cargo run --release --example measures [DAEMONS ...]`; it ends by itself within two
-//! minutes for the default sizes. Service by rank with and without floods is measured by the
-//! example `policy`, and added latency by the example `added_latency`.
+//! minutes for the default sizes. The last table is service by rank with and without floods, as
+//! the example `policy` prints it. Added latency is measured by the example `added_latency`.
 
 mod fleet;
 mod node;
 mod pipe;
 mod restart;
+#[path = "../policy/server.rs"]
+mod server;
+#[path = "../policy/sim.rs"]
+mod sim;
 mod steady;
+#[path = "../policy/table.rs"]
+mod table;
 
 use {
     self::fleet::Fleet,
@@ -62,6 +68,8 @@
     // Closes what is left without waiting for connections.
     pipes.shutdown_background();
     outer.shutdown_background();
+    println!("\nservice by rank, virtual time");
+    table::print();
     Ok(())
 }
 
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -3,66 +3,8 @@
 
 mod server;
 mod sim;
-
-use {
-    anvilbeam::{admission::FLOORS, model::Rank},
-    server::POLICIES,
-    sim::{CAPACITY, PLANS, RankResult, SCENARIOS, Scenario},
-    std::time::Duration,
-    strum::IntoEnumIterator as _,
-};
-
-const SEED: u64 = 20;
-const TIME: Duration = Duration::from_secs(10);
+mod table;
 
 fn main() {
-    println!(
-        "{:<13} {:<7} {:<7} {:>9} {:>9} {:>8} {:>8} {:>9} {:>7}  in time/s by plan (offered)",
-        "load",
-        "policy",
-        "rank",
-        "offered/s",
-        "in time",
-        "p50 ms",
-        "p99 ms",
-        "goodput/s",
-        "floor/s"
-    );
-    for scenario in &SCENARIOS {
-        for (policy, name) in POLICIES {
-            let results = sim::run(policy, scenario, SEED, TIME);
-            for (rank, result) in Rank::iter().zip(&results) {
-                print_row(scenario, name, rank, result);
-            }
-        }
-        println!();
-    }
-}
-
-fn print_row(scenario: &Scenario, policy: &str, rank: Rank, result: &RankResult) {
-    let seconds = TIME.as_secs_f64();
-    let plans: Vec<String> = (0..PLANS.len())
-        .map(|plan| {
-            let per_second = |count: u64| count as f64 / seconds;
-            format!(
-                "{} {:.0} ({:.0})",
-                PLANS[plan].0,
-                per_second(result.plans[plan]),
-                per_second(result.plans_offered[plan])
-            )
-        })
-        .collect();
-    println!(
-        "{:<13} {:<7} {:<7} {:>9.0} {:>8.2}% {:>8.1} {:>8.1} {:>9.0} {:>7.0}  {}",
-        scenario.name,
-        policy,
-        rank.to_string(),
-        result.offered as f64 / seconds,
-        result.share() * 100.0,
-        result.quantile_ms(0.5),
-        result.quantile_ms(0.99),
-        result.in_time as f64 / seconds,
-        FLOORS[rank.index()] * CAPACITY,
-        plans.join(", "),
-    );
+    table::print();
 }
