--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon beside each backend server.
 
 mod attempt;
+pub mod capacity;
 mod crash;
 mod decision;
 mod entry;
@@ -26,6 +27,7 @@
         relays::Role,
         serve::{self, Server},
         settings,
+        tree_wire::{DEMAND_PATH, SHARES_PATH},
     },
     http::{HeaderMap, HeaderValue, Request, Response},
     hyper::body::Incoming,
@@ -114,6 +116,10 @@
             tokio::spawn(Arc::clone(&tree).announce_forever()),
             tokio::spawn(tick_forever(Arc::clone(&shared))),
             tokio::spawn(crash::exchange_forever(Arc::clone(&shared))),
+            tokio::spawn(capacity::run_forever(
+                Arc::clone(&shared),
+                Arc::clone(&tree),
+            )),
         ];
         Ok(Self {
             shared,
@@ -222,10 +228,11 @@
         notice_version(&shared, &tree, req.headers());
         return owner::handle_peer(shared, req).await;
     }
-    if req.uri().path() == crash::SUSPECTS_PATH {
-        return crash::answer(&shared, req).await;
+    match req.uri().path() {
+        crash::SUSPECTS_PATH => crash::answer(&shared, req).await,
+        DEMAND_PATH | SHARES_PATH => capacity::answer(&shared, req).await,
+        _ => tree.answer(req).await,
     }
-    tree.answer(req).await
 }
 
 /// A call of a daemon that has a newer version shows that this one lags behind.
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -43,11 +43,23 @@
         }
     }
 
-    fn end(&mut self) -> Option<Choice> {
+    pub(super) fn end(&mut self) -> Option<Choice> {
         self.choice.take()
     }
 }
 
+impl Pending<'_> {
+    /// Ends an attempt that was never sent; it tells nothing about the server.
+    pub(super) fn release(&self, choice: &Choice) {
+        let attempt = Attempt {
+            choice,
+            outcome: balance::Outcome::Neutral,
+            since: self.since,
+        };
+        self.shared.dispatch(None, Event::Answered(attempt));
+    }
+}
+
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
         if let Some(choice) = self.choice.take() {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -137,6 +137,15 @@
             return refuse(shared, id, None, &refusal);
         }
     };
+    // Counts as cancelled when the caller goes away while the call waits for a share.
+    let mut pending = Pending::new(shared, choice.clone());
+    let taken = shared.capacity.take(&shared.metrics, id, &call).await;
+    pending.end();
+    if let Err(refusal) = taken {
+        pending.release(&choice);
+        body::discard(body::boxed(incoming), Instant::now() + DISCARD_TIME).await;
+        return refuse(shared, id, Some(&call), &refusal);
+    }
     match Replay::read(parts, incoming).await {
         Ok(replay) => {
             let forwarding = Forwarding {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        capacity::Capacity,
         event::{CallId, Effect, Event},
         state::State,
     },
@@ -48,6 +49,8 @@
     pub claims: HashMap<String, ClaimGroup>,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Part of this daemon in the capacity of grants.
+    pub capacity: Capacity,
     /// Wakes the task that reports to the parent.
     pub report: Notify,
     /// Change of the suspects up to which other daemons were told.
@@ -79,6 +82,7 @@
             client,
             claims,
             metrics: Metrics::new(),
+            capacity: Capacity::new(&cfg, Instant::now()),
             report: Notify::new(),
             told_suspects: AsyncMutex::new(0),
             state: Mutex::new(State::new(Instant::now())),
