Use the segment size of the settings

Cause: segment_size was checked and documented, but the replica kept its default of 16 MiB. Change: the options of the replica take it over; a test compares them.

--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,9 @@
 mod replication;
 mod tree;
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{
         body::Body,
@@ -170,7 +173,7 @@
         if bootstrap && !joined {
             identity::found(&cfg, &client, id, address).await?;
         }
-        let options = Options::new(&cfg.name, address, cfg.data_folder.clone());
+        let options = replica_options(&cfg, address);
         log_event!(
             Event::Started,
             program = "anvilbeam-control",
@@ -241,6 +244,12 @@
     }
 }
 
+fn replica_options(cfg: &settings::Control, address: SocketAddr) -> Options {
+    let mut options = Options::new(&cfg.name, address, cfg.data_folder.clone());
+    options.wal.segment_bytes = cfg.segment_size;
+    options
+}
+
 fn start_role(
     cfg: settings::Control,
     options: Options,
