Count the bytes that leave a region

Cause: the links claims and region of the control bytes were always 0. Change: a region relay counts its link to control as region; the link to the claims group, which nothing counted, is gone from the metrics.

--- a/src/daemon/tree/asking.rs
+++ b/src/daemon/tree/asking.rs
@@ -8,7 +8,7 @@
         log_event,
         metrics::{Direction, Link},
         model::{DaemonName, Version},
-        relays::{Attach, AttachReply, Event, Parent, Report, Subscribe},
+        relays::{Attach, AttachReply, Event, Parent, Report, Role, Subscribe},
         tree_wire::{
             ATTACH_PATH, AttachAnswer, FETCH_PATH, Frame, REPORT_PATH, SUBSCRIBE_PATH,
             VERSION_PATH, VersionAnswer,
@@ -102,9 +102,7 @@
         loop {
             let frame = frames.next(Instant::now() + SILENCE).await?;
             let received = frames.received();
-            self.shared
-                .metrics
-                .control_bytes(Link::Parent, Direction::In, received - counted);
+            self.count(Direction::In, received - counted);
             counted = received;
             match frame {
                 Frame::Reply(reply) => self.step(Event::Subscribed {
@@ -116,6 +114,15 @@
         }
     }
 
+    /// Counts bytes of the link to the parent, which leaves the region at a region relay.
+    fn count(&self, direction: Direction, bytes: u64) {
+        let metrics = &self.shared.metrics;
+        metrics.control_bytes(Link::Parent, direction, bytes);
+        if matches!(self.role(), Role::RegionRelay { .. }) {
+            metrics.control_bytes(Link::Region, direction, bytes);
+        }
+    }
+
     pub(super) async fn ask_version(self: Arc<Self>, peer: DaemonName, address: SocketAddr) {
         let asked = self
             .ask::<_, VersionAnswer>("ask version", address, VERSION_PATH, &())
@@ -162,8 +169,7 @@
         let tree = Arc::clone(self);
         tokio::spawn(async move {
             let bytes = wire::encode(&report).map_or(0, |buf| buf.len() as u64);
-            let metrics = &tree.shared.metrics;
-            metrics.control_bytes(Link::Parent, Direction::Out, bytes);
+            tree.count(Direction::Out, bytes);
             let sent = tree.ask::<_, ()>("report", address, REPORT_PATH, &report);
             if let Err(e) = sent.await {
                 log::debug!("{e}");
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -45,9 +45,7 @@
     Parent,
     /// To the children in the distribution tree.
     Children,
-    /// To a claims group.
-    Claims,
-    /// To another region; counted in addition to one of the others.
+    /// From a region relay to control; counted in addition to the link to the parent.
     Region,
 }
 
