Write the numbered events that nothing wrote

Cause: eight events of the catalogue were never logged, so an operator would wait for them in vain. Seen: each event is now used outside of the catalogue.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -112,6 +112,11 @@
             local_address = local.address(),
             peer_address = peer.address(),
         );
+        log_event!(
+            LogEvent::NotReady,
+            name = shared.cfg.name,
+            reason = "no version is known yet"
+        );
         let tasks = vec![
             tokio::spawn(Arc::clone(&tree).tick_forever()),
             tokio::spawn(Arc::clone(&tree).announce_forever()),
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -11,6 +11,8 @@
         announce::Announcement,
         balance::{Balancer, Choice},
         call::Call,
+        events::Event as LogEvent,
+        log_event,
         model::{ServerName, ServerState},
         refusal::{Reason, Refusal},
         retry::{self, Budget, Decision, Failure, GiveUp},
@@ -360,7 +362,14 @@
     fn tick(&mut self, now: Instant) -> Vec<Effect> {
         let lapsed = |server: &OwnServer| server.lease_until <= now;
         if let Some(server) = self.server.as_ref().filter(|server| lapsed(server)) {
-            let incarnation = server.announcement.incarnation;
+            let Announcement {
+                server: name,
+                service,
+                incarnation,
+                ..
+            } = &server.announcement;
+            log_event!(LogEvent::EndpointLapsed, server = name, service = service);
+            let incarnation = *incarnation;
             return self.server_gone(incarnation, now);
         }
         self.suspects.expire(now);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,8 @@
     crate::{
         body::{self, Body},
         error::{Error, Result},
+        events::Event,
+        log_event,
         serve::{self, CONNECTION_WINDOW, PING_INTERVAL, SEND_BUFFER, STREAM_WINDOW, Server},
         wire::{self, MAX_MESSAGE},
     },
@@ -253,7 +255,7 @@
         .map_err(|e| format!("handshake with {address}: {e}"))?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
-            log::debug!("connection to {address} ended: {e}");
+            log_event!(Event::ConnectionClosed, peer = address, reason = e);
         }
     });
     Ok(sender)
--- a/src/relays/table.rs
+++ b/src/relays/table.rs
@@ -7,6 +7,8 @@
     },
     crate::{
         endpoints::Epoch,
+        events::Event as LogEvent,
+        log_event,
         model::{DaemonName, DataCentre, Region, Version},
     },
     indexmap::IndexMap,
@@ -193,7 +195,17 @@
 
     fn expire(&mut self, now: Instant) {
         self.regions.retain(|_, lease| !lease.ended(now));
-        self.data_centres.retain(|_, lease| !lease.ended(now));
+        self.data_centres.retain(|data_centre, lease| {
+            let ended = lease.ended(now);
+            if ended {
+                log_event!(
+                    LogEvent::RelayLeaseEnded,
+                    daemon = lease.relay.daemon,
+                    data_centre = data_centre,
+                );
+            }
+            !ended
+        });
         self.reports.retain(|_, (_, at)| now < *at + RELAY_LEASE);
     }
 
--- a/src/relays/uplink/link.rs
+++ b/src/relays/uplink/link.rs
@@ -10,6 +10,8 @@
     },
     crate::{
         endpoints::{Changed, EndpointDelta, Position, SetError},
+        events::Event as LogEvent,
+        log_event,
         model::{DaemonName, Version},
         versions::{ApplyError, ConfigDelta},
     },
@@ -255,6 +257,14 @@
     pub(super) fn apply_config(&mut self, delta: &ConfigDelta) -> Result<(), ApplyError> {
         let applied = self.store.apply(delta);
         self.reason = applied.as_ref().err().map(ToString::to_string);
+        if let Some(reason) = &self.reason {
+            log_event!(
+                LogEvent::VersionRefused,
+                from = delta.from,
+                to = delta.to,
+                reason = reason,
+            );
+        }
         applied.map(drop)
     }
 
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -18,6 +18,8 @@
 use {
     crate::{
         error::{Error, Result},
+        events::Event as LogEvent,
+        log_event,
         raft::{
             Answer, Effects, Entry, Event, MAX_SNAPSHOT, Member, MemberRole, Message, Payload,
             Raft, ReplicaId, Snapshot,
@@ -262,10 +264,10 @@
             (self.send)(&to, message);
         }
         if let Some(snapshot) = effects.install {
-            log::info!(
-                "replica {} loads a snapshot at {}",
-                self.wal.id(),
-                snapshot.at.index
+            log_event!(
+                LogEvent::SnapshotInstalled,
+                id = self.wal.id(),
+                index = snapshot.at.index
             );
             self.machine.state = (self.machine.restore)(&snapshot.data)?;
             self.applied = snapshot.at.index;
@@ -318,10 +320,10 @@
             ..record
         };
         self.wal.compact(&snapshot)?;
-        log::info!(
-            "replica {} stored a snapshot at {}",
-            self.wal.id(),
-            self.applied
+        log_event!(
+            LogEvent::SnapshotWritten,
+            id = self.wal.id(),
+            index = self.applied
         );
         self.raft
             .handle(Event::Compacted(snapshot), now, rand::random());
--- a/src/wal/recover.rs
+++ b/src/wal/recover.rs
@@ -9,6 +9,8 @@
     },
     crate::{
         error::{Error, Result},
+        events::Event,
+        log_event,
         raft::{Entry, HardState, Position, ReplicaId, Stored},
         wire,
     },
@@ -171,7 +173,7 @@
 
 /// Cuts a segment off after its last intact frame.
 fn cut(path: &Path, offset: usize) -> Result<()> {
-    log::warn!("{} is cut off at offset {offset}", path.display());
+    log_event!(Event::LogTruncated, file = path.display(), offset = offset);
     let file = File::options()
         .write(true)
         .open(path)
