Measure the added latency within the capacity of the sample grants

Cause: the sample grants allow 1000 calls/s, so at 2000 calls/s the measurement showed the wait for shares (p50 18 ms), not the latency of the daemons.

--- a/src/dev/lists.rs
+++ b/src/dev/lists.rs
@@ -37,7 +37,9 @@
         } else {
             String::new()
         };
-        format!("- {{ plan: {plan}, service: {service}, {servers}capacity: 1000, rank: {rank} }}\n")
+        format!(
+            "- {{ plan: {plan}, service: {service}, {servers}capacity: 20000, rank: {rank} }}\n"
+        )
     };
     format!("grants:\n{}", PLANS.iter().map(entry).collect::<String>())
 }
