--- a/examples/distribution_cost/main.rs
+++ b/examples/distribution_cost/main.rs
@@ -7,7 +7,7 @@
 use {
     anvilbeam::{
         endpoints::{Directory, EndpointDelta, Epoch, OwnSet, Stamp},
-        model::{Config, Digest, Endpoint, Grant, Plan, Rank, ServerState, Version},
+        model::{Config, Digest, Endpoint, Grant, Plan, Rank, ServerState, Terms, Version},
         relays::{
             ADMITTED_PER_SECOND, COPIES_PER_SECOND, DataCentreSummary, Member, MemberReport,
             Report, Role, Summary, Update,
@@ -73,6 +73,10 @@
             .collect(),
         capacity,
         rank: Rank::Normal,
+        path: "/".into(),
+        terms: Terms::default(),
+        path: "/".into(),
+        terms: Terms::default(),
     }
 }
 
--- a/examples/routing_cost/main.rs
+++ b/examples/routing_cost/main.rs
@@ -8,7 +8,7 @@
         balance::{Balancer, Outcome},
         model::{
             Config, DaemonName, DataCentre, Digest, Endpoint, Grant, Plan, PlanName, Rank, Region,
-            ServerName, ServerState, ServiceName, Version,
+            ServerName, ServerState, ServiceName, Terms, Version,
         },
         routes::{Location, Snapshot},
     },
@@ -83,6 +83,8 @@
             servers: servers.collect(),
             capacity: 100,
             rank: Rank::Normal,
+            path: "/".into(),
+            terms: Terms::default(),
         };
         (grant.key(), grant)
     });
--- a/examples/slopes/tree.rs
+++ b/examples/slopes/tree.rs
@@ -3,7 +3,9 @@
 use {
     anvilbeam::{
         endpoints::{Directory, EndpointDelta, Epoch, OwnSet, Stamp},
-        model::{Config, Digest, Endpoint, Grant, Plan, Rank, ServerState, ServiceName, Version},
+        model::{
+            Config, Digest, Endpoint, Grant, Plan, Rank, ServerState, ServiceName, Terms, Version,
+        },
         relays::{
             AttachReply, Attached, Effect, Event, Member, Parent, Role, SubscribeReply, Update,
             Uplink,
@@ -39,6 +41,10 @@
         servers: Vec::new(),
         capacity,
         rank: Rank::Normal,
+        path: "/".into(),
+        terms: Terms::default(),
+        path: "/".into(),
+        terms: Terms::default(),
     }
 }
 
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Ends a drain, with all slots at once.
+    pub const fn reopen(&mut self) {
+        self.draining = false;
+    }
+
     /// Begins the slow start of a server that has just started: a tenth of the slots at
     /// first, all after 10 s. Also ends a drain.
     pub fn cold_start(&mut self, now: Instant) {
--- a/src/announce.rs
+++ b/src/announce.rs
@@ -3,12 +3,14 @@
 use {
     crate::model::{ServerName, ServerState, ServiceName},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Path of the daemon's local port that takes announcements by POST.
 pub const ANNOUNCE_PATH: &str = "/announce";
-/// Slots that a backend server may announce; its platform allows 110 connections.
+/// Time for which an announcement is valid, unless the settings name another.
+pub const ANNOUNCE_LEASE: Duration = Duration::from_secs(3);
+/// Largest number of slots of a backend server.
 pub const MAX_SLOTS: u32 = 100_000;
 
 /// What a backend server says of itself; repeated each second.
@@ -38,6 +40,15 @@
     pub incarnation: u64,
 }
 
+/// What a repeated announcement says besides the announcement itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// Rises with each announcement of one start; without it, announcements are never late.
+    pub sequence: Option<u64>,
+    /// How much longer the backend server is slow after its start, if it tells.
+    pub cold: Option<Duration>,
+}
+
 const fn serving() -> ServerState {
     ServerState::Serving
 }
--- a/src/call.rs
+++ b/src/call.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         claims::MAX_KEY,
-        model::{PlanName, Rank, ServiceName},
-        refusal::{Reason, Refusal},
-        retry::is_idempotent,
+        dialect::Dialect,
+        model::{PathPrefix, PlanName, Rank, ServerName, ServiceName, Work},
+        peer,
+        refusal::{self, Reason, Refusal},
+        retry::{RETRIED_HEADER, is_idempotent},
     },
     http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header, request::Parts},
     std::{
@@ -28,6 +30,14 @@
 pub const CAPACITY: HeaderName = HeaderName::from_static("anvilbeam-capacity");
 /// Header with the home region of the plan, between daemons.
 pub const HOME_REGION: HeaderName = HeaderName::from_static("anvilbeam-home-region");
+/// Header with the paths of the grant, between daemons.
+pub const GRANT_PATH: HeaderName = HeaderName::from_static("anvilbeam-grant-path");
+/// Header with the kind of work of the grant, between daemons.
+pub const WORK: HeaderName = HeaderName::from_static("anvilbeam-work");
+/// Header with the backend server that was chosen, between daemons.
+pub const SERVER: HeaderName = HeaderName::from_static("anvilbeam-server");
+/// Header with the load of the backend server, from an owner daemon.
+pub const LOAD: HeaderName = HeaderName::from_static("anvilbeam-load");
 /// Header with the version in force at the daemon that sends a call.
 pub const VERSION: HeaderName = HeaderName::from_static("anvilbeam-version");
 /// Header with the name of the daemon that sends a call.
@@ -36,10 +46,31 @@
 pub const SERVER_US: HeaderName = HeaderName::from_static("anvilbeam-server-us");
 /// Header that tells the owner daemon that the body has no length limit in time.
 pub const STREAMED: HeaderName = HeaderName::from_static("anvilbeam-streamed");
+/// Header by which a backend server declares that it shed a request without running it.
+pub const SHED: HeaderName = HeaderName::from_static("anvilbeam-shed");
 /// Standard header with the idempotency key.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Prefix of the headers that are ours.
-const OWN_PREFIX: &str = "anvilbeam-";
+/// Headers that only daemons and backend servers of the mesh may set.
+const OWN: [HeaderName; 18] = [
+    TIMEOUT_MS,
+    DEPTH,
+    PLAN,
+    SERVICE,
+    RANK,
+    CAPACITY,
+    HOME_REGION,
+    GRANT_PATH,
+    WORK,
+    SERVER,
+    LOAD,
+    VERSION,
+    DAEMON,
+    SERVER_US,
+    STREAMED,
+    refusal::OUTCOME,
+    refusal::REASON,
+    refusal::RETRY_AFTER_MS,
+];
 
 /// Calls may nest this deep; the planned depth is 23.
 pub const MAX_DEPTH: u32 = 32;
@@ -77,6 +108,14 @@
     pub deadline: Instant,
     /// Calls above this one.
     pub depth: u32,
+    /// Paths of the grant.
+    pub path: PathPrefix,
+    /// Kind of work by the grant.
+    pub work: Option<Work>,
+    /// Backend servers to which it may be sent.
+    pub attempts: u32,
+    /// The backend server that was chosen; the owner daemon refuses the call for any other.
+    pub server: Option<ServerName>,
     /// Whether a second run does no harm.
     pub idempotent: bool,
     /// Key that tells resends of one request from new requests.
@@ -85,11 +124,11 @@
     pub streamed: bool,
 }
 
-/// The service that a request names: its host without the port.
+/// The host that a request names, without the port.
 ///
 /// # Errors
 /// A refusal when no host is given.
-pub fn service_of(uri: &Uri, headers: &HeaderMap) -> Result<ServiceName, Refusal> {
+pub fn service_of<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Result<&'a str, Refusal> {
     let host = match uri.host() {
         Some(host) => host,
         None => headers
@@ -104,7 +143,7 @@
             "the Host header must name the service",
         ));
     }
-    Ok(ServiceName::from(name))
+    Ok(name)
 }
 
 /// The key in the `authorization` header.
@@ -129,12 +168,14 @@
 /// # Errors
 /// A refusal when the header is no number of milliseconds.
 pub fn deadline_of(
+    dialect: &Dialect,
     headers: &HeaderMap,
     now: Instant,
     default: Duration,
 ) -> Result<Instant, Refusal> {
-    let timeout = match headers.get(&TIMEOUT_MS) {
-        Some(value) => Duration::from_millis(number(&TIMEOUT_MS, value)?),
+    let name = &dialect.timeout_ms;
+    let timeout = match headers.get(name) {
+        Some(value) => Duration::from_millis(number(name, value)?),
         None => default,
     };
     Ok(now + timeout.min(MAX_TIMEOUT))
@@ -206,6 +247,13 @@
         write_text(headers, RANK, &self.rank.to_string());
         headers.insert(CAPACITY, self.capacity.into());
         write_text(headers, HOME_REGION, &self.home_region);
+        write_text(headers, GRANT_PATH, self.path.as_str());
+        if let Some(work) = self.work {
+            write_text(headers, WORK, &work.to_string());
+        }
+        if let Some(server) = &self.server {
+            write_text(headers, SERVER, server.as_str());
+        }
         if self.streamed {
             headers.insert(STREAMED, HeaderValue::from_static("1"));
         }
@@ -226,6 +274,13 @@
     pub fn read(parts: &Parts, now: Instant) -> Result<Self, Refusal> {
         let headers = &parts.headers;
         let rank = text(headers, &RANK)?;
+        let work = optional(headers, &WORK)?
+            .map(|work| {
+                work.parse::<Work>().map_err(|_unknown| {
+                    Refusal::not_run(Reason::BadRequest, format!("unknown work {work:?}"))
+                })
+            })
+            .transpose()?;
         Ok(Self {
             plan: text(headers, &PLAN)?.into(),
             service: text(headers, &SERVICE)?.into(),
@@ -234,15 +289,35 @@
             })?,
             capacity: number(&CAPACITY, required(headers, &CAPACITY)?)?,
             home_region: text(headers, &HOME_REGION)?.to_owned(),
-            deadline: deadline_of(headers, now, Duration::ZERO)?,
+            deadline: deadline_of(&Dialect::own(), headers, now, Duration::ZERO)?,
             depth: depth_of(headers)?,
-            idempotent: is_idempotent(&parts.method),
-            idempotency_key: idempotency_key_of(&parts.method, headers)?,
+            path: optional(headers, &GRANT_PATH)?.map_or_else(PathPrefix::default, Into::into),
+            // Only the entry daemon sends a call again.
+            attempts: 1,
+            server: optional(headers, &SERVER)?.map(Into::into),
+            idempotent: is_repeatable(work, &parts.method),
+            idempotency_key: match work {
+                Some(_) => None,
+                None => idempotency_key_of(&parts.method, headers)?,
+            },
+            work,
             streamed: headers.contains_key(&STREAMED),
         })
     }
 }
 
+/// Whether a second run of a request does no harm: by the kind of work, or else by the method.
+pub fn is_repeatable(work: Option<Work>, method: &Method) -> bool {
+    work.map_or_else(|| is_idempotent(method), |work| work == Work::Safe)
+}
+
+fn optional<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Refusal> {
+    headers
+        .contains_key(name)
+        .then(|| text(headers, name))
+        .transpose()
+}
+
 fn write_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
     // Names are checked when lists are read, so each is a valid header value.
     if let Ok(value) = HeaderValue::from_str(text) {
@@ -278,12 +353,7 @@
 
 /// Removes our own headers, which only a daemon may set.
 pub fn strip_own(headers: &mut HeaderMap) {
-    let own: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
-        .cloned()
-        .collect();
-    for name in own {
+    for name in OWN.iter().chain(&[SHED, RETRIED_HEADER, peer::TOKEN]) {
         headers.remove(name);
     }
 }
--- a/src/capacity/node.rs
+++ b/src/capacity/node.rs
@@ -55,7 +55,7 @@
 ///
 /// let now = Instant::now();
 /// let mut node = Node::new("daemon-1".into(), "fukuoka".into(), 1, now);
-/// let grant = GrantKey { plan: "clerks".into(), service: "roll".into() };
+/// let grant = GrantKey { plan: "clerks".into(), service: "roll".into(), path: "/".into() };
 /// assert!(!node.try_take(&grant, now), "nothing is held before the first share");
 /// assert!(node.wait(&grant, 7, now + std::time::Duration::from_secs(1), now));
 /// assert_eq!(node.poll(now).asks.len(), 1);
--- a/src/capacity/tests/tree.rs
+++ b/src/capacity/tests/tree.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         capacity::{Asks, Give, Node, Root, Surroundings, Tier},
-        model::{Config, DaemonName, Grant, GrantKey, Rank, Region, Version},
+        model::{Config, DaemonName, Grant, GrantKey, Rank, Region, Terms, Version},
     },
     std::{
         collections::{BTreeMap, VecDeque},
@@ -96,17 +96,20 @@
     GrantKey {
         plan: "clerks".into(),
         service: "roll".into(),
+        path: "/".into(),
     }
 }
 
 fn config(capacity: u32, version: u64) -> Arc<Config> {
-    let GrantKey { plan, service } = grant();
+    let GrantKey { plan, service, .. } = grant();
     let entry = Grant {
         plan,
         service,
         servers: Vec::new(),
         capacity,
         rank: Rank::Normal,
+        path: "/".into(),
+        terms: Terms::default(),
     };
     let grants = (capacity > 0).then(|| (grant(), entry)).into_iter();
     Arc::new(Config {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -277,4 +277,7 @@
     /// control replica
     #[options(no_short)]
     pub bootstrap: bool,
+    /// file with the mesh token, when the settings hold none
+    #[options(no_short, meta = "FILE")]
+    pub token_file: Option<String>,
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,8 +5,10 @@
 mod config;
 mod health;
 mod identity;
+mod joining;
 mod members;
 mod operators;
+mod replace;
 mod replication;
 mod tree;
 
@@ -39,6 +41,7 @@
 pub use {
     config::ConfigReplica,
     identity::{IDENTITY_PATH, Identity},
+    replace::{ReplaceError, Replaced, Replacement},
     replication::RAFT_PATH,
     tree::ControlTree,
 };
@@ -170,7 +173,10 @@
             let port = Arc::clone(&answering);
             async move { port.handle(req).await }
         })?;
-        if bootstrap && !joined {
+        let seeds = cfg.first_start && cfg.seeds.contains(&address);
+        if !joined && seeds {
+            identity::found_with_seeds(&cfg, &client, id, address).await?;
+        } else if bootstrap && !joined {
             identity::found(&cfg, &client, id, address).await?;
         }
         let options = replica_options(&cfg, address);
@@ -188,6 +194,11 @@
             (Role::Config(replica), Some(listener)) => Some(serve_operators(replica, listener)),
             _ => None,
         };
+        if let Role::Config(replica) = &role
+            && !replica.cfg.seeds.is_empty()
+        {
+            tokio::spawn(joining::keep_membership(Arc::clone(replica), address));
+        }
         // Only this function sets the role.
         drop(port.role.set(role.clone()));
         Ok(Self {
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -1,7 +1,12 @@
 //! A replica of the config group: keeps the two lists and distributes their versions.
 
 use {
-    super::{capacity::ControlCapacity, replication, tree::ControlTree},
+    super::{
+        capacity::ControlCapacity,
+        members::{MEMBERS_PATH, answer_peer},
+        replication,
+        tree::ControlTree,
+    },
     crate::{
         body::Body,
         edits::{self, State},
@@ -13,7 +18,7 @@
     },
     http::{Request, Response},
     hyper::body::Incoming,
-    std::{sync::Arc, thread::JoinHandle},
+    std::{sync::Arc, thread::JoinHandle, time::Instant},
 };
 
 /// One replica of the config group.
@@ -29,6 +34,8 @@
     pub tree: Arc<ControlTree>,
     /// The capacity of grants.
     capacity: Arc<ControlCapacity>,
+    /// When the process started.
+    pub started: Instant,
 }
 
 impl ConfigReplica {
@@ -49,6 +56,7 @@
         let tree = ControlTree::start(handle.clone());
         let replica = Arc::new(Self {
             capacity: ControlCapacity::start(handle.clone(), Arc::clone(&tree), &cfg.region),
+            started: Instant::now(),
             cfg,
             client,
             tree,
@@ -62,6 +70,7 @@
         match req.uri().path() {
             DEMAND_PATH | SHARES_PATH => self.capacity.answer(req).await,
             super::RAFT_PATH => replication::receive(&self.handle, req).await,
+            MEMBERS_PATH => answer_peer(&self.handle, &self.client, req).await,
             _ => self.tree.answer(req).await,
         }
     }
--- a/src/control/identity.rs
+++ b/src/control/identity.rs
@@ -96,6 +96,48 @@
     wal::bootstrap(&cfg.data_folder, &members)
 }
 
+/// Founds the group with the replicas at the addresses of the settings, whose names and identities
+/// they tell themselves.
+///
+/// # Errors
+/// A replica does not answer in time, belongs to another group, or the folder can't be written.
+pub(super) async fn found_with_seeds(
+    cfg: &settings::Control,
+    client: &Client,
+    own: ReplicaId,
+    address: SocketAddr,
+) -> Result<()> {
+    let deadline = Instant::now() + FOUND_TIMEOUT;
+    let mut members = Vec::new();
+    for seed in &cfg.seeds {
+        let (id, name) = if *seed == address {
+            (own, cfg.name.clone())
+        } else {
+            let identity = loop {
+                match ask(client, *seed).await {
+                    Ok(identity) => break identity,
+                    Err(e) if Instant::now() > deadline => return Err(e),
+                    Err(_starting) => sleep(PAUSE).await,
+                }
+            };
+            if !identity.members.is_empty() && !identity.members.contains(&own) {
+                // The group exists already, so this replica asks to join it.
+                return Ok(());
+            }
+            (identity.id, identity.name)
+        };
+        members.push(Member {
+            id,
+            name,
+            address: *seed,
+            role: MemberRole::Voter,
+        });
+    }
+    // All founders must write the same list.
+    members.sort_by_key(|member| member.address);
+    wal::bootstrap(&cfg.data_folder, &members)
+}
+
 async fn await_identity(
     client: &Client,
     replica: &settings::Replica,
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         config::ConfigReplica,
-        identity,
+        identity, joining,
         operators::{Failure, error, not_done},
     },
     crate::{
@@ -45,6 +45,13 @@
     List,
     /// Adds or removes one.
     Change(MemberRequest),
+    /// Lets a replica join that no operator added.
+    Join {
+        /// Name of the replica.
+        name: String,
+        /// Its peer address.
+        address: SocketAddr,
+    },
 }
 
 /// Answer to a [`Question`].
@@ -91,11 +98,13 @@
     question: &Question,
 ) -> Result<MembersAnswer, Cause> {
     handle.read(|_| ()).await?;
-    if let Question::Change(wanted) = question {
-        match wanted.action {
+    match question {
+        Question::List => {}
+        Question::Change(wanted) => match wanted.action {
             MemberAction::Add => add(handle, client, wanted).await?,
             MemberAction::Remove => remove(handle, wanted).await?,
-        }
+        },
+        Question::Join { name, address } => joining::admit(handle, client, name, *address).await?,
     }
     Ok(show(handle))
 }
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -15,12 +15,14 @@
         events::Event,
         lists::{self, Announced, Lists, Problem},
         log_event,
-        model::{Config, Digest, Version},
+        model::{Config, Version},
         operator_api::{
             ConflictAnswer, EDITS, EditAnswer, EditRequest, ErrorAnswer, LISTS, ListsAnswer,
             MEMBERS, ProblemsAnswer, STATUS, StatusAnswer, VALIDATE, ValidateAnswer,
         },
+        platform,
         replica::ProposeError,
+        settings::Interface,
         versions::Change,
         wire,
     },
@@ -57,6 +59,9 @@
     let to = |answer| Route::new(Arc::clone(replica), answer);
     build_simple_router(|route| {
         health::routes(route, replica);
+        if replica.cfg.interface == Interface::Platform {
+            platform::operator_routes(route, replica);
+        }
         route
             .get(LISTS)
             .to_new_handler(to(|r, ask| guarded(r, ask, get_lists)));
@@ -211,7 +216,7 @@
 
 async fn post_edit(replica: Arc<ConfigReplica>, ask: Ask) -> Result<Response<Body>, Failure> {
     let edit = read_edit(&ask)?;
-    let id = edit_id(&edit.edit_id);
+    let id = EditId::of(edit.edit_id.as_bytes());
     let found = replica
         .handle
         .read(move |state| (state.accepted(id), Arc::clone(state.store().config())))
@@ -238,6 +243,7 @@
         base,
         change,
         time: clock_ms(),
+        origin: None,
     };
     match propose(&replica, &command).await? {
         EditReply::Accepted { version } => Ok(edit_answer(&edit, version, false, warnings)),
@@ -265,12 +271,6 @@
 }
 
 /// Operators name an edit with any text.
-fn edit_id(text: &str) -> EditId {
-    let Digest(bytes) = Digest::of(text.as_bytes());
-    let (head, _) = bytes.split_at(16);
-    EditId(head.iter().fold(0, |id, byte| id << 8 | u128::from(*byte)))
-}
-
 fn edit_answer(
     edit: &EditRequest,
     version: Version,
@@ -318,7 +318,7 @@
     Failure::new(StatusCode::UNPROCESSABLE_ENTITY, &answer)
 }
 
-fn change_between(cfg: &Config, lists: &Lists) -> Change {
+pub(super) fn change_between(cfg: &Config, lists: &Lists) -> Change {
     let plans = lists.plans.values();
     let grants = lists.grants.values();
     Change {
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -4,20 +4,24 @@
     crate::{
         body::Body,
         edits::State,
-        endpoints::Directory,
+        endpoints::{Directory, EndpointDelta},
         events::Event,
         log_event,
-        model::{Config, Version},
+        model::{Config, DataCentre, Version},
         operator_api::{DataCentreStatus, Lagging},
         peer,
         raft::Role,
-        relays::{Attach, AttachReply, Children, RelayTable, Report, Subscribe, SubscribeReply},
+        relays::{
+            Attach, AttachReply, Children, RELAY_LEASE, RelayTable, Report, Subscribe,
+            SubscribeReply,
+        },
         replica::{Handle, ProposeError},
         tree_wire::{ATTACH_PATH, AttachAnswer, ChildStreams, Frame, REPORT_PATH, SUBSCRIBE_PATH},
         versions::ConfigStore,
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    indexmap::IndexMap,
     std::{
         net::SocketAddr,
         sync::{
@@ -42,6 +46,38 @@
     term: u64,
     table: RelayTable,
     children: Children,
+    /// Daemons that own their endpoint set, are not subscribed, and since when.
+    lost: IndexMap<DataCentre, Instant>,
+}
+
+impl Root {
+    /// Empties the endpoint sets of daemons that are alone in their set and have been gone for a
+    /// lease. The new epoch tells a daemon that returns that its set was taken over.
+    fn clear_lost(&mut self, directory: &mut Directory, now: Instant) {
+        let children = &self.children;
+        let gone = directory.direct_sets();
+        let gone = gone.filter(|set| children.stream(&set.as_str().into()).is_none());
+        let gone: Vec<DataCentre> = gone.cloned().collect();
+        self.lost.retain(|set, _| gone.contains(set));
+        for set in gone {
+            let since = *self.lost.entry(set.clone()).or_insert(now);
+            if now < since + RELAY_LEASE {
+                continue;
+            }
+            let delta = EndpointDelta::emptied(set, self.table.next_epoch());
+            match directory.apply(&delta, now) {
+                Ok(changed) => changed.removed.iter().for_each(|key| {
+                    log_event!(
+                        Event::EndpointLapsed,
+                        server = key.server,
+                        service = key.service,
+                        daemon = key.daemon
+                    );
+                }),
+                Err(e) => log::warn!("endpoint set not emptied: {e}"),
+            }
+        }
+    }
 }
 
 /// What the root distributes, and to whom.
@@ -134,6 +170,7 @@
             term: status.term,
             table: RelayTable::new(status.term, now),
             children: Children::new(now),
+            lost: IndexMap::new(),
         });
         drop(content);
         self.streams.close_all();
@@ -158,6 +195,7 @@
         };
         directory.expire(now);
         root.children.expire(now);
+        root.clear_lost(directory, now);
         match root.children.frames(store, directory, 0, now) {
             Ok(frames) => {
                 for (child, update) in frames {
@@ -210,7 +248,11 @@
                 parent = format!("{:?}", attached.parent),
             );
         }
-        AttachAnswer::Reply(reply)
+        let members = self.handle.members();
+        AttachAnswer::Reply {
+            reply,
+            members: members.iter().map(|member| member.address).collect(),
+        }
     }
 
     /// Version that the group confirms, `None` when it does not in time, or the leader elsewhere.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,7 +7,7 @@
 mod decision;
 mod entry;
 pub mod event;
-mod local;
+pub(crate) mod local;
 mod order;
 mod owner;
 pub mod shared;
@@ -40,7 +40,7 @@
     tokio::{
         net::TcpListener,
         task::JoinHandle,
-        time::{MissedTickBehavior, interval, sleep},
+        time::{MissedTickBehavior, interval, sleep_until},
     },
 };
 
@@ -51,6 +51,9 @@
 /// Time that a shutdown gives to calls in flight; uploads may take long.
 const SHUTDOWN_TIME: Duration = Duration::from_mins(10);
 
+/// Time before the end of the grace period by which the process has ended.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Sockets of a daemon, bound before it starts.
 #[derive(Debug)]
 pub struct Listeners {
@@ -60,6 +63,8 @@
     pub local: TcpListener,
     /// Peer port.
     pub peer: TcpListener,
+    /// Port for questions about readiness, if it is not the local port.
+    pub ready: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -72,6 +77,10 @@
             callers: serve::bind(cfg.caller_address).await?,
             local: serve::bind(cfg.local_address).await?,
             peer: serve::bind(cfg.peer_address).await?,
+            ready: match cfg.ready_address {
+                Some(address) => Some(serve::bind(address).await?),
+                None => None,
+            },
         })
     }
 }
@@ -84,6 +93,7 @@
     callers: Server,
     local: Server,
     peer: Server,
+    ready: Option<Server>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -104,6 +114,7 @@
         let callers = serve_callers(&shared, listeners.callers);
         let local = serve_local(&shared, listeners.local);
         let peer = serve_peers(&shared, &tree, listeners.peer, &token)?;
+        let ready = listeners.ready.map(|port| serve_local(&shared, port));
         log_event!(
             LogEvent::Started,
             program = "anvilbeam-daemon",
@@ -133,6 +144,7 @@
             callers,
             local,
             peer,
+            ready,
             tasks,
         })
     }
@@ -157,6 +169,16 @@
         self.shared.in_force()
     }
 
+    /// Token that proves that a process belongs to the mesh.
+    pub fn token(&self) -> settings::Secret {
+        settings::Secret::from(self.shared.cfg.token())
+    }
+
+    /// Replaces the control replicas of the settings; returns whether they changed.
+    pub fn set_control(&self, control: Vec<SocketAddr>) -> bool {
+        self.tree.set_configured(control)
+    }
+
     /// Counters of the daemon.
     pub fn metrics(&self) -> &Metrics {
         &self.shared.metrics
@@ -167,14 +189,25 @@
         self.tree.role()
     }
 
+    /// Until when calls are still accepted, and when the shutdown ends.
+    fn shutdown_times(&self, now: Instant) -> (Instant, Instant) {
+        match self.shared.cfg.grace {
+            Some(grace) => (
+                now + DRAIN_NOTICE.min(grace / 2),
+                now + grace.saturating_sub(GRACE_MARGIN),
+            ),
+            None => (now + DRAIN_NOTICE, now + DRAIN_NOTICE + SHUTDOWN_TIME),
+        }
+    }
+
     /// Stops gracefully: others stop sending calls first, then the calls in flight end.
     /// Returns whether all calls had their answer.
     pub async fn stop(self) -> bool {
         log_event!(LogEvent::Stopping, name = self.shared.cfg.name);
         self.shared.dispatch(None, Event::Drain);
         self.tree.announce();
-        sleep(DRAIN_NOTICE).await;
-        let deadline = Instant::now() + SHUTDOWN_TIME;
+        let (notice, deadline) = self.shutdown_times(Instant::now());
+        sleep_until(notice.into()).await;
         let callers = self.callers.shutdown(deadline).await;
         for task in &self.tasks {
             task.abort();
@@ -184,6 +217,9 @@
         self.shared.capacity.leave();
         let peer = self.peer.shutdown(deadline).await;
         self.local.shutdown(deadline).await;
+        if let Some(ready) = self.ready {
+            ready.shutdown(deadline).await;
+        }
         log_event!(LogEvent::Stopped, name = self.shared.cfg.name);
         callers && peer
     }
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -12,6 +12,7 @@
         balance::{self, Choice},
         body::{self, Body, Progress, Watched},
         call::{self, Call},
+        dialect::Callers,
         events::Event as LogEvent,
         log_event,
         metrics::Outcome as CallOutcome,
@@ -212,10 +213,11 @@
         since: Instant,
     ) -> Option<Effect> {
         let retry = retry::Call {
-            method: self.parts.method.clone(),
+            repeatable: call.idempotent,
             deadline: call.deadline,
             body: self.replay.kind(),
             tried: self.tried.clone(),
+            attempts: call.attempts,
             is_retry: self.parts.headers.contains_key(RETRIED_HEADER),
         };
         let event = Event::Failed {
@@ -284,6 +286,10 @@
         let now = Instant::now();
         match Refusal::read(response.headers(), now) {
             Some(refusal) => failure(cause_of(&refusal, now), &refusal, response),
+            None if self.shared.dialect.is_strict() && response.status().is_server_error() => {
+                let refusal = Refusal::unknown(Reason::Failed, "the backend server failed");
+                failure(Cause::ServerFault, &refusal, response)
+            }
             None => Sent::Answer(response),
         }
     }
@@ -295,19 +301,31 @@
         *req.headers_mut() = self.parts.headers.clone();
         call::strip_hop_by_hop(req.headers_mut());
         call::strip_own(req.headers_mut());
-        // The key proves the plan to us; the backend server has no use for it.
-        req.headers_mut().remove(http::header::AUTHORIZATION);
+        let dialect = &self.shared.dialect;
+        if dialect.callers == Callers::Key {
+            // The key proves the plan to us; the backend server has no use for it.
+            req.headers_mut().remove(http::header::AUTHORIZATION);
+            self.name_service(call, &mut req);
+        }
+        if let (Some(name), Some(service)) = (&dialect.caller_service, self.shared.own_service())
+            && let Ok(value) = HeaderValue::from_str(service.as_str())
+        {
+            req.headers_mut().insert(name, value);
+        }
         let retried = self.tried.len() > 1 || self.parts.headers.contains_key(RETRIED_HEADER);
         if retried {
             req.headers_mut()
                 .insert(RETRIED_HEADER, HeaderValue::from_static("1"));
         }
-        let host = HeaderValue::from_str(call.service.as_str());
-        if let Ok(host) = host {
-            req.headers_mut().insert(http::header::HOST, host);
-        }
         req
     }
+
+    fn name_service(&self, call: &Call, req: &mut Request<Body>) {
+        match HeaderValue::from_str(call.service.as_str()) {
+            Ok(host) => drop(req.headers_mut().insert(http::header::HOST, host)),
+            Err(e) => log::warn!("call {}: service {:?}: {e}", self.id, call.service),
+        }
+    }
 }
 
 async fn send_to_peer(
--- a/src/daemon/capacity.rs
+++ b/src/daemon/capacity.rs
@@ -16,7 +16,7 @@
         limits::{LEASE, MILLI, REPORT_INTERVAL},
         log_event,
         metrics::{Direction, Link, Metrics},
-        model::{DaemonName, GrantKey},
+        model::{DaemonName, GrantKey, UNLIMITED},
         peer,
         refusal::{Reason, Refusal},
         relays::{HEARTBEAT, Uplink},
@@ -90,10 +90,14 @@
         id: u64,
         call: &Call,
     ) -> std::result::Result<(), Refusal> {
+        if call.capacity == UNLIMITED {
+            return Ok(());
+        }
         let now = Instant::now();
         let grant = GrantKey {
             plan: call.plan.clone(),
             service: call.service.clone(),
+            path: call.path.clone(),
         };
         if self.node().try_take(&grant, now) {
             return Ok(());
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -3,14 +3,15 @@
 use {
     super::{
         attempt::{Forwarding, Pending},
-        event::{CallId, Effect, Event, Head},
+        event::{CallId, Effect, Event, Head, Target},
         order,
         shared::Shared,
     },
     crate::{
         balance::Choice,
         body::{self, Body, Progress, Watched},
-        call::{self, Call, MAX_REPLAY},
+        call::{self, Call, MAX_TIMEOUT},
+        dialect::Callers,
         events::Event as LogEvent,
         log_event,
         metrics::Outcome as CallOutcome,
@@ -37,16 +38,14 @@
 }
 
 impl Replay {
-    async fn read(parts: &Parts, incoming: Incoming) -> Result<Self, Refusal> {
-        if !is_small(&incoming) {
+    async fn read(parts: &Parts, incoming: Incoming, limit: u64) -> Result<Self, Refusal> {
+        if !is_small(&incoming, limit) {
             return Ok(Self::Stream(Some(body::boxed(incoming))));
         }
         let watched = body::boxed(Watched::new(body::boxed(incoming), Progress::new(), |_| ()));
-        let bytes = body::collect(watched, MAX_REPLAY as usize)
-            .await
-            .map_err(|e| {
-                Refusal::not_run(Reason::BadRequest, format!("body of {}: {e}", parts.method))
-            })?;
+        let bytes = body::collect(watched, limit as usize).await.map_err(|e| {
+            Refusal::not_run(Reason::BadRequest, format!("body of {}: {e}", parts.method))
+        })?;
         Ok(Self::Whole(bytes))
     }
 
@@ -65,17 +64,20 @@
     }
 }
 
-fn is_small(incoming: &Incoming) -> bool {
-    incoming
-        .size_hint()
-        .exact()
-        .is_some_and(|size| size <= MAX_REPLAY)
+fn is_small(incoming: &Incoming, limit: u64) -> bool {
+    let size = incoming.size_hint().exact();
+    size.is_some_and(|size| size <= limit)
 }
 
 /// Handles one request of a caller.
 pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let now = Instant::now();
     let (parts, incoming) = req.into_parts();
     let response = route(&shared, &parts, incoming).await;
+    if shared.dialect.is_strict() {
+        let asked = call::deadline_of(&shared.dialect, &parts.headers, now, MAX_TIMEOUT);
+        return shared.dialect.present(response, asked.unwrap_or(now));
+    }
     if is_idempotent(&parts.method) {
         return response;
     }
@@ -129,7 +131,7 @@
 async fn route(shared: &Arc<Shared>, parts: &Parts, incoming: Incoming) -> Response<Body> {
     let now = Instant::now();
     let id = shared.call_id();
-    let streamed = !is_small(&incoming);
+    let streamed = !is_small(&incoming, shared.cfg.replay_limit);
     let (call, choice) = match admit(shared, id, parts, streamed, now) {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -146,7 +148,7 @@
         body::discard(body::boxed(incoming), Instant::now() + DISCARD_TIME).await;
         return refuse(shared, id, Some(&call), &refusal);
     }
-    match Replay::read(parts, incoming).await {
+    match Replay::read(parts, incoming, shared.cfg.replay_limit).await {
         Ok(replay) => {
             let forwarding = Forwarding {
                 shared,
@@ -172,14 +174,24 @@
     streamed: bool,
     now: Instant,
 ) -> Result<(Box<Call>, Choice), Refusal> {
+    let dialect = &shared.dialect;
+    let named = call::service_of(&parts.uri, &parts.headers)?;
+    let target = match dialect.callers {
+        Callers::Key => Target::Service {
+            key: call::bearer(&parts.headers)?,
+            service: named.into(),
+        },
+        Callers::Host => Target::Plan(named),
+    };
+    let default = shared.cfg.default_timeout;
     let head = Head {
-        key: call::bearer(&parts.headers)?,
-        service: call::service_of(&parts.uri, &parts.headers)?,
-        deadline: call::deadline_of(&parts.headers, now, shared.cfg.default_timeout)?,
+        target,
+        path: parts.uri.path(),
+        deadline: call::deadline_of(dialect, &parts.headers, now, default)?,
         depth: call::depth_of(&parts.headers)?,
-        idempotent: is_idempotent(&parts.method),
-        idempotency_key: call::idempotency_key_of(&parts.method, &parts.headers)?,
-        streamed: streamed && !parts.headers.contains_key(call::TIMEOUT_MS),
+        method: &parts.method,
+        idempotency_key: call::idempotency_key_of(&parts.method, &parts.headers),
+        streamed: streamed && !parts.headers.contains_key(&dialect.timeout_ms),
     };
     match shared.dispatch(Some(id), Event::Arrived { id, head: &head }) {
         Some(Effect::Forward { call, choice, .. }) => Ok((call, choice)),
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         admission,
-        announce::Announcement,
+        announce::{Announcement, Beat},
         balance::{self, Change, Choice},
         call::Call,
         model::{Endpoint, ServiceName},
@@ -12,6 +12,7 @@
         routes::Snapshot,
         suspects::{Crash, Ending, Fingerprint, Report, RunId},
     },
+    http::Method,
     std::{sync::Arc, time::Instant},
 };
 
@@ -21,22 +22,37 @@
 /// What a caller's request says.
 #[derive(Clone, Debug)]
 pub struct Head<'a> {
-    /// Key that proves the plan.
-    pub key: &'a str,
-    /// The service that is called.
-    pub service: ServiceName,
+    /// Who calls, and what.
+    pub target: Target<'a>,
+    /// Path that is called.
+    pub path: &'a str,
     /// When the caller stops waiting.
     pub deadline: Instant,
     /// Calls above this one.
     pub depth: u32,
-    /// Whether a second run does no harm.
-    pub idempotent: bool,
-    /// Key that tells resends of one request from new requests.
-    pub idempotency_key: Option<String>,
+    /// Method of the request.
+    pub method: &'a Method,
+    /// Key that tells resends of one request from new requests, or why it can't be used. Only
+    /// grants that don't tell their kind of work need it.
+    pub idempotency_key: Result<Option<String>, Refusal>,
     /// Whether the body is passed on as it comes.
     pub streamed: bool,
 }
 
+/// How a request names its plan and the service.
+#[derive(Clone, Debug)]
+pub enum Target<'a> {
+    /// By a key and the name of the service.
+    Service {
+        /// Key that proves the plan.
+        key: &'a str,
+        /// The service that is called.
+        service: ServiceName,
+    },
+    /// By the name of the plan; the path selects the grant.
+    Plan(&'a str),
+}
+
 /// How an attempt at a backend server ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt<'a> {
@@ -114,7 +130,14 @@
     /// Another daemon told of requests that crashed backend servers.
     Suspected(&'a Report),
     /// The backend server announced itself.
-    Announced(&'a Announcement),
+    Announced(&'a Announcement, Beat),
+    /// The backend server is about to end.
+    Left {
+        /// Its name.
+        server: &'a str,
+        /// Its start, if it tells; otherwise the one that is known.
+        incarnation: Option<u64>,
+    },
     /// The backend server does not accept connections.
     ServerGone {
         /// The start of the server that was seen to end.
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -1,20 +1,18 @@
 //! The local port: announcements of the backend server, health, metrics and explanations.
 
 use {
-    super::{
-        event::Event,
-        shared::Shared,
-        state::{ANNOUNCE_LEASE, State},
-    },
+    super::{event::Event, shared::Shared, state::State},
     crate::{
-        announce::{ANNOUNCE_PATH, Announced, Announcement, MAX_SLOTS},
+        announce::{ANNOUNCE_PATH, Announced, Announcement, Beat, MAX_SLOTS},
         api::{self, Answer, Ask, Route},
         body::Body,
         events::Event as LogEvent,
         lists, log_event,
-        model::{Endpoint, PlanName, Rank, ServerState, ServiceName},
+        model::{Endpoint, PathPrefix, PlanName, Rank, ServerState, ServiceName},
         operator_api::{Candidate, EXPLAIN, ExplainAnswer, ExplainGrant},
+        platform,
         routes::Snapshot,
+        settings::Interface,
     },
     gotham::{
         prelude::*,
@@ -29,6 +27,9 @@
 pub(super) fn router(shared: &Arc<Shared>) -> Router {
     let to = |answer| Route::new(Arc::clone(shared), answer);
     build_simple_router(|route| {
+        if shared.cfg.interface == Interface::Platform {
+            platform::upstream_routes(route, shared);
+        }
         route.post(ANNOUNCE_PATH).to_new_handler(to(announce));
         route.get("/metrics").to_new_handler(to(metrics));
         route.get("/healthz").to_new_handler(to(health));
@@ -43,25 +44,37 @@
             Ok(announcement) => announcement,
             Err(reason) => return api::text(StatusCode::BAD_REQUEST, &reason),
         };
-        let before = shared
-            .state()
-            .server()
-            .map(|server| server.announcement.clone());
-        if before.as_ref() != Some(&announcement) {
-            log_announcement(&announcement);
-        }
-        shared.dispatch(None, Event::Announced(&announcement));
+        take_announcement(&shared, &announcement, Beat::default());
         let answer = Announced {
-            lease_ms: ANNOUNCE_LEASE.as_millis() as u64,
+            lease_ms: shared.cfg.announce_lease.as_millis() as u64,
             running: shared.state().admission().running(),
         };
         api::json(StatusCode::OK, &answer)
     })
 }
 
+/// Applies an announcement and writes it to the log when it is not a repetition.
+pub(crate) fn take_announcement(shared: &Shared, announcement: &Announcement, beat: Beat) {
+    let held = |shared: &Shared| {
+        let state = shared.state();
+        state.server().map(|server| server.announcement.clone())
+    };
+    let before = held(shared);
+    shared.dispatch(None, Event::Announced(announcement, beat));
+    if before != held(shared) {
+        log_announcement(announcement);
+    }
+}
+
 fn read_announcement(ask: &Ask) -> Result<Announcement, String> {
     let announcement: Announcement =
         serde_json::from_slice(&ask.body).map_err(|e| format!("announcement: {e}"))?;
+    check_announcement(&announcement)?;
+    Ok(announcement)
+}
+
+/// Checks names and slots of an announcement; the error tells what is wrong.
+pub(crate) fn check_announcement(announcement: &Announcement) -> Result<(), String> {
     for (field, name) in [
         ("server", announcement.server.as_str()),
         ("service", announcement.service.as_str()),
@@ -74,7 +87,7 @@
             announcement.slots
         ));
     }
-    Ok(announcement)
+    Ok(())
 }
 
 fn log_announcement(announcement: &Announcement) {
@@ -111,7 +124,8 @@
     Box::pin(async { api::text(StatusCode::OK, "ok\n") })
 }
 
-fn ready(shared: Arc<Shared>, _ask: Ask) -> Answer {
+/// Answers whether the daemon takes calls.
+pub(crate) fn ready(shared: Arc<Shared>, _ask: Ask) -> Answer {
     Box::pin(async move {
         let state = shared.state();
         match (state.snapshot(), state.is_draining()) {
@@ -159,6 +173,7 @@
         .get(&crate::model::GrantKey {
             plan: plan.clone(),
             service: service.clone(),
+            path: PathPrefix::default(),
         })
         .map(|grant| ExplainGrant {
             servers: grant.servers.iter().map(ToString::to_string).collect(),
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -12,13 +12,14 @@
         backend::{CallError, InUse, Patience},
         body::{self, Body, Ending, Progress, Watched},
         call::{self, Call},
+        dialect::Dialect,
         events::Event as LogEvent,
         log_event,
         refusal::{Reason, Refusal},
         suspects::{self, Ending as RunEnding, Fingerprint, Identity, RunId},
     },
-    http::{Request, Response, StatusCode},
-    hyper::body::Incoming,
+    http::{HeaderValue, Request, Response, StatusCode},
+    hyper::body::{Body as _, Incoming},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -27,9 +28,6 @@
     tokio::time::timeout_at,
 };
 
-/// Header by which a backend server declares that it shed a request without running it.
-pub const SHED: &str = "anvilbeam-shed";
-
 /// Handles a call that an entry daemon sent over the peer port.
 pub async fn handle_peer(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let (mut parts, incoming) = req.into_parts();
@@ -49,8 +47,8 @@
 
 /// Runs one call, or refuses it.
 pub async fn run(shared: Arc<Shared>, call: Call, req: Request<Body>) -> Response<Body> {
-    let answered = if call.idempotent {
-        run_repeatable(&shared, &call, req).await
+    let answered = if call.idempotent || call.work.is_some() {
+        run_unclaimed(&shared, &call, req).await
     } else {
         order::run(Arc::clone(&shared), call, req).await
     };
@@ -65,7 +63,7 @@
     })
 }
 
-async fn run_repeatable(
+async fn run_unclaimed(
     shared: &Arc<Shared>,
     call: &Call,
     req: Request<Body>,
@@ -73,6 +71,9 @@
     let mut slot = acquire(shared, call).await?;
     slot.start_run(fingerprint(call, &req))?;
     let answer = send(&slot, call, req).await?;
+    if shared.dialect.is_strict() {
+        return whole(slot, answer).await;
+    }
     Ok(stream(slot, answer))
 }
 
@@ -202,17 +203,24 @@
         let detail = "the backend server is no longer announced";
         return Err(Refusal::not_run(Reason::NoServer, detail));
     };
-    let patience = prepare(call, &mut req);
+    if call.deadline <= Instant::now() {
+        return Err(expired());
+    }
+    let patience = prepare(shared, call, &mut req);
+    let id = shared.dialect.request_id.as_ref();
+    let id = id.and_then(|name| req.headers().get(name).cloned());
     let backend = shared.backend(address);
     let sent = Instant::now();
-    match backend.send(req, call.idempotent, &patience).await {
-        Ok((response, connection)) if is_shed(&response) => {
+    // A grant that tells its kind of work gets no claim, which a broken connection would leave open.
+    let reuse = call.idempotent || call.work.is_some();
+    match backend.send(req, reuse, &patience).await {
+        Ok((response, connection)) if is_shed(shared, &response) => {
             connection.hand_back();
-            Err(Refusal::not_run(
-                Reason::Overload,
-                "the backend server sheds load",
-            ))
+            Err(shed(&response))
         }
+        Ok((response, _connection)) if !is_own(shared, id.as_ref(), &response) => Err(
+            Refusal::unknown(Reason::Failed, "the answer does not belong to the request"),
+        ),
         Ok((response, connection)) => Ok(Answer {
             response,
             connection,
@@ -252,20 +260,64 @@
     Some((announcement.address, announcement.incarnation))
 }
 
-fn is_shed(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE && response.headers().contains_key(SHED)
+/// Whether the backend server declares that it did not run the request.
+fn is_shed(shared: &Shared, response: &Response<Incoming>) -> bool {
+    let declared = response.headers().contains_key(&shared.dialect.not_run);
+    let status = response.status();
+    if shared.dialect.is_strict() {
+        return declared || status == StatusCode::MISDIRECTED_REQUEST;
+    }
+    declared && status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn shed(response: &Response<Incoming>) -> Refusal {
+    match response.status() {
+        StatusCode::MISDIRECTED_REQUEST => {
+            Refusal::not_run(Reason::NoServer, "another backend server has the address")
+        }
+        StatusCode::BAD_REQUEST => {
+            Refusal::not_run(Reason::BadRequest, "the backend server refused the request")
+        }
+        _ => Refusal::not_run(Reason::Overload, "the backend server sheds load"),
+    }
+}
+
+/// Whether the answer is the backend server's own and belongs to the request with this id.
+fn is_own(shared: &Shared, id: Option<&HeaderValue>, response: &Response<Incoming>) -> bool {
+    let Dialect {
+        request_id: Some(id_name),
+        signature: Some(signature),
+        ..
+    } = &shared.dialect
+    else {
+        return true;
+    };
+    let headers = response.headers();
+    headers.contains_key(signature) && headers.get(id_name) == id
 }
 
 /// Writes the limits of the call into the request and tells how long to wait for the answer.
-fn prepare(call: &Call, req: &mut Request<Body>) -> Patience {
+fn prepare(shared: &Shared, call: &Call, req: &mut Request<Body>) -> Patience {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     if let Ok(uri) = path.parse() {
         *req.uri_mut() = uri;
     }
     *req.version_mut() = http::Version::HTTP_11;
-    let mut nested = call.clone();
-    nested.depth += 1;
-    nested.write_limits(req.headers_mut(), Instant::now());
+    let dialect = &shared.dialect;
+    if dialect.is_strict() {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let left = left.as_millis() as u64;
+        req.headers_mut().insert(&dialect.timeout_ms, left.into());
+    } else {
+        let mut nested = call.clone();
+        nested.depth += 1;
+        nested.write_limits(req.headers_mut(), Instant::now());
+    }
+    if let (Some(name), Some(server)) = (&dialect.server, &call.server)
+        && let Ok(value) = HeaderValue::from_str(server.as_str())
+    {
+        req.headers_mut().insert(name, value);
+    }
     let progress = Progress::new();
     let inner = std::mem::replace(req.body_mut(), body::empty());
     if call.streamed {
@@ -277,6 +329,23 @@
     Patience::Until(call.deadline)
 }
 
+/// Largest answer in bytes that is read whole before its head is passed on, so that a request
+/// whose answer breaks off can be sent again.
+const MAX_WHOLE: usize = 256 * 1024;
+
+/// Reads the whole answer of a backend server that may break it off, unless it is large.
+async fn whole(slot: Slot, answer: Answer) -> Result<Response<Body>, Refusal> {
+    let size = answer.response.body().size_hint().exact();
+    if size.is_some_and(|size| size > MAX_WHOLE as u64) {
+        return Ok(stream(slot, answer));
+    }
+    let (parts, incoming) = stream(slot, answer).into_parts();
+    let bytes = body::collect(incoming, MAX_WHOLE)
+        .await
+        .map_err(|e| Refusal::unknown(Reason::Failed, format!("answer: {e}")))?;
+    Ok(Response::from_parts(parts, body::full(bytes)))
+}
+
 /// Passes the body on and gives the slot back at its end.
 pub(super) fn stream(slot: Slot, answer: Answer) -> Response<Body> {
     let Answer {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -10,11 +10,12 @@
         backend::Backend,
         balance::Change,
         claim_client::ClaimGroup,
+        dialect::Dialect,
         error::Result,
         events::Event as LogEvent,
         log_event,
         metrics::Metrics,
-        model::{Endpoint, Region, ServerState, Version},
+        model::{Endpoint, Region, ServerState, ServiceName, Version},
         peer::Client,
         refusal::Refusal,
         settings,
@@ -41,6 +42,8 @@
 pub struct Shared {
     /// Settings of the daemon.
     pub cfg: settings::Daemon,
+    /// What callers and the backend server speak.
+    pub dialect: Dialect,
     /// Peer address that others use.
     pub advertised: SocketAddr,
     /// Connections to other daemons and to control.
@@ -78,6 +81,7 @@
         let client = Client::new(cfg.token())?;
         let claims = claim_groups(&cfg.claims, &client);
         Ok(Arc::new(Self {
+            dialect: cfg.interface.dialect(),
             advertised,
             client,
             claims,
@@ -85,7 +89,7 @@
             capacity: Capacity::new(&cfg, Instant::now()),
             report: Notify::new(),
             told_suspects: AsyncMutex::new(0),
-            state: Mutex::new(State::new(Instant::now())),
+            state: Mutex::new(State::new(cfg.announce_lease)),
             waiting: Mutex::default(),
             backend: Mutex::default(),
             next_call: AtomicU64::new(1),
@@ -171,6 +175,22 @@
         state.snapshot().map(|snapshot| snapshot.config().version)
     }
 
+    /// Service of the own backend server, as it announces it or else by the settings.
+    pub fn own_service(&self) -> Option<ServiceName> {
+        let state = self.state();
+        let announced = state.server().map(|server| &server.announcement.service);
+        announced.or(self.cfg.service.as_ref()).cloned()
+    }
+
+    /// Whether the settings or a grant in force name the service.
+    pub fn knows_service(&self, service: &ServiceName) -> bool {
+        let state = self.state();
+        let granted = state
+            .snapshot()
+            .is_some_and(|held| held.grants_service(service));
+        granted || self.cfg.service.as_ref() == Some(service)
+    }
+
     /// The own backend server as other daemons see it.
     pub fn own_endpoint(&self) -> Option<Endpoint> {
         let state = self.state();
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -4,30 +4,29 @@
 use {
     super::{
         decision::{no_server, route_refusal, slot_effects},
-        event::{Attempt, CallId, Effect, Event, Head},
+        event::{Attempt, CallId, Effect, Event, Head, Target},
     },
     crate::{
         admission::{self, Admission},
-        announce::Announcement,
+        announce::{Announcement, Beat},
         balance::{Balancer, Choice},
-        call::Call,
+        call::{Call, is_repeatable},
         events::Event as LogEvent,
         log_event,
-        model::{ServerName, ServerState},
+        model::{ServerName, ServerState, ServiceName},
         refusal::{Reason, Refusal},
         retry::{self, Budget, Decision, Failure, GiveUp},
-        routes::Snapshot,
+        routes::{Route, Snapshot},
+        split::Splits,
         suspects::{Fingerprint, Suspects, Verdict},
     },
     std::{
+        collections::{HashMap, VecDeque},
         sync::Arc,
         time::{Duration, Instant},
     },
 };
 
-/// Time for which an announcement is valid.
-pub const ANNOUNCE_LEASE: Duration = Duration::from_secs(3);
-
 /// Wait after which a suspect may find its server without another suspect.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -38,31 +37,50 @@
     pub announcement: Announcement,
     /// When the announcement lapses.
     pub lease_until: Instant,
+    /// Sequence number of the announcement, if it has one.
+    sequence: Option<u64>,
 }
 
+/// Services whose retries are counted; callers can only name granted ones.
+const MAX_BUDGETS: usize = 4096;
+
+/// One start of a backend server.
+type Start = (ServerName, u64);
+
+/// Starts of the own backend server that are remembered as over; announcements are late by seconds.
+const MAX_RETIRED: usize = 32;
+
 /// State of one daemon's calls.
 #[derive(Debug)]
 pub struct State {
     snapshot: Option<Arc<Snapshot>>,
     balancer: Balancer,
-    budget: Budget,
+    budgets: HashMap<ServiceName, Budget>,
     server: Option<OwnServer>,
     admission: Admission,
     suspects: Suspects,
+    splits: Splits,
     draining: bool,
+    announce_lease: Duration,
+    /// Starts that are over, whose late announcements are ignored.
+    retired: VecDeque<Start>,
 }
 
 impl State {
-    /// A daemon without configuration and backend server.
-    pub fn new(now: Instant) -> Self {
+    /// A daemon without configuration and backend server; `announce_lease` is the time for which
+    /// an announcement is valid.
+    pub fn new(announce_lease: Duration) -> Self {
         Self {
             snapshot: None,
             balancer: Balancer::default(),
-            budget: Budget::new(now),
+            budgets: HashMap::new(),
             server: None,
             admission: Admission::new(0),
             suspects: Suspects::default(),
+            splits: Splits::default(),
             draining: false,
+            announce_lease,
+            retired: VecDeque::new(),
         }
     }
 
@@ -127,7 +145,11 @@
                 self.suspects.merge(report, now);
                 Vec::new()
             }
-            Event::Announced(announcement) => self.announced(announcement, now),
+            Event::Announced(announcement, beat) => self.announced(announcement, beat, now),
+            Event::Left {
+                server,
+                incarnation,
+            } => self.left(server, incarnation, now),
             Event::ServerGone { incarnation } => self.server_gone(incarnation, now),
             Event::Routed(snapshot) => {
                 self.swap(snapshot, now);
@@ -155,7 +177,7 @@
     fn route(&mut self, id: CallId, head: &Head<'_>, now: Instant, random: u64) -> Effect {
         match self.choose(head, now, random) {
             Ok((call, choice)) => {
-                self.budget.count_call(now);
+                self.budget_of(&call.service, now).count_call(now);
                 Effect::Forward {
                     id,
                     call: Box::new(call),
@@ -177,30 +199,71 @@
             let detail = "the daemon has no configuration that is recent enough";
             return Err(Refusal::not_run(Reason::NotReady, detail));
         };
-        let plan = snapshot.authenticate(head.key).ok_or_else(|| {
-            Refusal::not_run(Reason::UnknownKey, "no plan has the key of this request")
-        })?;
-        let route = snapshot
-            .route(plan, &head.service)
-            .map_err(|e| route_refusal(e, plan.as_str(), &head.service))?;
-        let home_region = snapshot.config().plans.get(plan).map(|p| &p.home_region);
+        let snapshot = Arc::clone(snapshot);
+        let route = self.find_route(&snapshot, head, random)?;
+        let grant = route.grant;
+        let home_region = snapshot.config().plans.get(&grant.plan);
+        let work = grant.terms.work;
+        let timeout = grant.terms.timeout_ms.map(Duration::from_millis);
+        let choice = self.balancer.pick(&route, now, random, &[]);
+        let choice = choice.ok_or_else(|| no_server(&grant.service))?;
         let call = Call {
-            plan: plan.clone(),
-            service: head.service.clone(),
-            rank: route.grant.rank,
-            capacity: route.grant.capacity,
-            home_region: home_region.map_or_else(String::new, ToString::to_string),
-            deadline: head.deadline,
+            plan: grant.plan.clone(),
+            service: grant.service.clone(),
+            rank: grant.rank,
+            capacity: grant.capacity,
+            home_region: home_region.map_or_else(String::new, |plan| plan.home_region.to_string()),
+            deadline: timeout.map_or(head.deadline, |timeout| head.deadline.min(now + timeout)),
             depth: head.depth,
-            idempotent: head.idempotent,
-            idempotency_key: head.idempotency_key.clone(),
+            path: grant.path.clone(),
+            work,
+            attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
+            server: Some(choice.endpoint.server.clone()),
+            idempotent: is_repeatable(work, head.method),
+            idempotency_key: match work {
+                Some(_) => None,
+                None => head.idempotency_key.clone()?,
+            },
             streamed: head.streamed,
         };
-        let choice = self.balancer.pick(&route, now, random, &[]);
-        let choice = choice.ok_or_else(|| no_server(&head.service))?;
         Ok((call, choice))
     }
 
+    fn find_route<'a>(
+        &mut self,
+        snapshot: &'a Snapshot,
+        head: &Head<'_>,
+        random: u64,
+    ) -> Result<Route<'a>, Refusal> {
+        match &head.target {
+            Target::Service { key, service } => {
+                let plan = snapshot.authenticate(key).ok_or_else(|| {
+                    Refusal::not_run(Reason::UnknownKey, "no plan has the key of this request")
+                })?;
+                let route = snapshot.route_to(plan, service, head.path);
+                route.map_err(|e| route_refusal(e, plan.as_str(), service))
+            }
+            Target::Plan(plan) => {
+                let grants = snapshot.grants_at(plan, head.path);
+                let Some(grant) = self.splits.choose(&grants, random) else {
+                    let detail = format!("plan {plan} has no grant for path {}", head.path);
+                    return Err(Refusal::not_run(Reason::NoGrant, detail));
+                };
+                let route = snapshot.route_of(grant);
+                route.map_err(|e| route_refusal(e, plan, &grant.service))
+            }
+        }
+    }
+
+    /// Budget of the retries to one service: a service that fails must not use up the others'.
+    fn budget_of(&mut self, service: &ServiceName, now: Instant) -> &mut Budget {
+        if !self.budgets.contains_key(service) && self.budgets.len() >= MAX_BUDGETS {
+            self.budgets.clear();
+        }
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| Budget::new(now))
+    }
+
     fn retry(
         &mut self,
         id: CallId,
@@ -210,17 +273,23 @@
         now: Instant,
         random: u64,
     ) -> Effect {
-        match retry::decide(&failure, retry, &mut self.budget, now, random) {
+        match retry::decide(
+            &failure,
+            retry,
+            self.budget_of(&call.service, now),
+            now,
+            random,
+        ) {
             Decision::GiveUp(reason) => Effect::GiveUp { id, reason },
             Decision::Retry {
                 not_before,
                 exclude,
             } => {
                 // The grant may have gone since the first attempt.
-                let route = self
-                    .snapshot
-                    .as_ref()
-                    .and_then(|snapshot| snapshot.route(&call.plan, &call.service).ok());
+                let route = self.snapshot.as_ref().and_then(|snapshot| {
+                    let (plan, path) = (&call.plan, call.path.as_str());
+                    snapshot.route_to(plan, &call.service, path).ok()
+                });
                 // A lost connection may have been at fault, so the only server is tried again.
                 let choice = route.and_then(|route| {
                     let other = self.balancer.pick(&route, now, random, &exclude);
@@ -229,7 +298,10 @@
                 match choice {
                     Some(choice) => Effect::Forward {
                         id,
-                        call: Box::new(call.clone()),
+                        call: Box::new(Call {
+                            server: Some(choice.endpoint.server.clone()),
+                            ..call.clone()
+                        }),
                         choice,
                         not_before,
                     },
@@ -257,10 +329,12 @@
     }
 
     fn want_slot(&mut self, id: CallId, call: &Call, now: Instant) -> Vec<Effect> {
-        let served = self
-            .server
-            .as_ref()
-            .is_some_and(|server| server.announcement.service == call.service);
+        let served = self.server.as_ref().is_some_and(|server| {
+            let announced = &server.announcement;
+            let expected = call.server.as_ref();
+            announced.service == call.service
+                && expected.is_none_or(|expected| *expected == announced.server)
+        });
         if !served {
             let refusal = no_server(&call.service);
             return vec![Effect::Refuse { id, refusal }];
@@ -321,15 +395,79 @@
         some.map(Effect::Crashed).into_iter().collect()
     }
 
-    fn announced(&mut self, announcement: &Announcement, now: Instant) -> Vec<Effect> {
-        let lease_until = now + ANNOUNCE_LEASE;
+    /// Whether a newer announcement was heard, or the start of the server is over.
+    fn is_late(&self, announcement: &Announcement, beat: Beat) -> bool {
+        let Some(sequence) = beat.sequence else {
+            return false;
+        };
+        let start = (announcement.server.clone(), announcement.incarnation);
+        if self.retired.contains(&start) {
+            return true;
+        }
+        self.server.as_ref().is_some_and(|held| {
+            let known = &held.announcement;
+            let same = known.server == announcement.server;
+            if same && known.incarnation == announcement.incarnation {
+                return Some(sequence) <= held.sequence;
+            }
+            announcement.incarnation < known.incarnation
+        })
+    }
+
+    fn retire(&mut self, announcement: &Announcement) {
+        if self.retired.len() >= MAX_RETIRED {
+            self.retired.pop_front();
+        }
+        let start = (announcement.server.clone(), announcement.incarnation);
+        self.retired.push_back(start);
+    }
+
+    fn left(&mut self, name: &str, incarnation: Option<u64>, now: Instant) -> Vec<Effect> {
+        let Some(server) = &mut self.server else {
+            return Vec::new();
+        };
+        let announcement = &mut server.announcement;
+        let same = incarnation.is_none_or(|start| start == announcement.incarnation);
+        if announcement.server.as_str() != name || !same {
+            return Vec::new();
+        }
+        announcement.state = ServerState::Draining;
+        let left = announcement.clone();
+        self.retire(&left);
+        let mut effects = slot_effects(self.admission.drain(now));
+        effects.push(Effect::Report);
+        effects
+    }
+
+    fn announced(&mut self, announcement: &Announcement, beat: Beat, now: Instant) -> Vec<Effect> {
+        if self.is_late(announcement, beat) {
+            return Vec::new();
+        }
+        let mut announcement = announcement.clone();
+        if let Some(held) = &self.server {
+            let known = &held.announcement;
+            let same = known.server == announcement.server
+                && known.incarnation == announcement.incarnation;
+            if same && known.state == ServerState::Draining && beat.sequence.is_some() {
+                // Daemons have acted on it, so one start never takes it back.
+                announcement.state = ServerState::Draining;
+            }
+        }
+        let lease_until = now + self.announce_lease;
         let before = self.server.replace(OwnServer {
             announcement: announcement.clone(),
             lease_until,
+            sequence: beat.sequence,
         });
-        if before.as_ref().map(|server| &server.announcement) == Some(announcement) {
+        if before.as_ref().map(|server| &server.announcement) == Some(&announcement) {
             return Vec::new();
         }
+        if let Some(before) = &before
+            && (&before.announcement.server, before.announcement.incarnation)
+                != (&announcement.server, announcement.incarnation)
+        {
+            self.retire(&before.announcement);
+        }
         let restarted = before
             .as_ref()
             .is_none_or(|server| server.announcement.incarnation != announcement.incarnation);
@@ -339,7 +477,11 @@
             effects.extend(self.count_crash(&announcement.server, now));
         }
         if restarted && !self.draining {
-            self.admission.cold_start(now);
+            match beat.cold {
+                // It takes all of its slots when it says that it is slow.
+                Some(_) => self.admission.reopen(),
+                None => self.admission.cold_start(now),
+            }
         }
         if announcement.state == ServerState::Draining || self.draining {
             effects.extend(slot_effects(self.admission.drain(now)));
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -13,6 +13,7 @@
         model::{DaemonName, ServiceName, Version},
         relays::{Effect, Event, Member, Role, Uplink},
         routes::{Location, Snapshot},
+        settings::TreeShape,
         tree_wire::{ChildStreams, Frame},
     },
     indexmap::{IndexMap, IndexSet},
@@ -42,6 +43,10 @@
     parents: Mutex<IndexMap<u64, (SocketAddr, JoinHandle<()>)>>,
     /// Bytes of children that the metrics hold already.
     counted: AtomicU64,
+    /// Peer addresses of control replicas: those of the settings, then those learned.
+    controls: Mutex<Vec<SocketAddr>>,
+    /// Peer addresses of control replicas in the settings.
+    configured: Mutex<Vec<SocketAddr>>,
 }
 
 impl std::fmt::Debug for Tree {
@@ -56,22 +61,34 @@
     /// The place of a daemon that starts.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
         let cfg = &shared.cfg;
+        // A daemon that asks control itself is the only member of its own part of the tree.
+        let own = cfg.name.as_str();
+        let (data_centre, region) = match cfg.tree {
+            TreeShape::Relayed => (cfg.data_centre.clone(), cfg.region.clone()),
+            TreeShape::Direct => (own.into(), own.into()),
+        };
         let member = Member {
             daemon: cfg.name.clone(),
             address: shared.advertised,
-            data_centre: cfg.data_centre.clone(),
-            region: cfg.region.clone(),
+            data_centre,
+            region,
         };
         let started = SystemTime::now().duration_since(UNIX_EPOCH);
         // Seconds keep the stream numbers, which are derived from it, within 64 bits.
         let incarnation = started.map_or(1, |since| since.as_secs());
         let controls = cfg.control.len() as u32;
         let uplink = Uplink::new(member, incarnation, controls, Instant::now());
+        let uplink = match cfg.tree {
+            TreeShape::Relayed => uplink,
+            TreeShape::Direct => uplink.direct(),
+        };
         Arc::new(Self {
             uplink: Mutex::new(uplink),
             children: ChildStreams::default(),
             parents: Mutex::default(),
             counted: AtomicU64::new(0),
+            controls: Mutex::new(cfg.control.clone()),
+            configured: Mutex::new(cfg.control.clone()),
             shared,
         })
     }
@@ -278,10 +295,56 @@
     }
 
     fn control(&self, number: u32) -> SocketAddr {
-        let control = &self.shared.cfg.control;
+        let control = self.controls();
         control[number as usize % control.len()]
     }
 
+    fn controls(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.controls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Place of a control replica in the list, which it joins if it is new.
+    fn control_number(&self, address: SocketAddr) -> u32 {
+        let mut controls = self.controls();
+        let at = controls.iter().position(|known| *known == address);
+        let at = at.unwrap_or_else(|| {
+            log::info!("control replica {address} learned");
+            controls.push(address);
+            controls.len() - 1
+        });
+        let count = controls.len() as u32;
+        drop(controls);
+        self.uplink().set_controls(count);
+        at as u32
+    }
+
+    fn configured(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.configured
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the replicas of the settings and keeps those that were learned.
+    pub fn set_configured(&self, control: Vec<SocketAddr>) -> bool {
+        if *self.configured() == control {
+            return false;
+        }
+        let known = self.controls().clone();
+        *self.configured() = control;
+        self.learn_controls(&known);
+        true
+    }
+
+    /// Replaces the replicas by the members of the group, after those of the settings.
+    fn learn_controls(&self, members: &[SocketAddr]) {
+        let configured = self.configured().clone();
+        let new = members.iter().filter(|at| !configured.contains(at));
+        let next: Vec<_> = configured.iter().chain(new).copied().collect();
+        let count = next.len() as u32;
+        *self.controls() = next;
+        self.uplink().set_controls(count);
+    }
+
     fn parents(&self) -> MutexGuard<'_, IndexMap<u64, (SocketAddr, JoinHandle<()>)>> {
         self.parents.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/daemon/tree/asking.rs
+++ b/src/daemon/tree/asking.rs
@@ -35,14 +35,14 @@
             .ask::<_, AttachAnswer>("attach", address, ATTACH_PATH, &attach)
             .await;
         let reply = match asked {
-            Ok(AttachAnswer::Reply(reply)) => Some(reply),
-            Ok(AttachAnswer::NotLeader(leader)) => {
-                let known = self.shared.cfg.control.iter();
-                let number = leader.and_then(|leader| known.clone().position(|at| *at == leader));
-                Some(AttachReply::NotLeader {
-                    leader: number.map(|number| number as u32),
-                })
+            Ok(AttachAnswer::Reply { reply, members }) => {
+                // A list in another order would turn the answers that are under way to others.
+                self.learn_controls(&members);
+                Some(reply)
             }
+            Ok(AttachAnswer::NotLeader(leader)) => Some(AttachReply::NotLeader {
+                leader: leader.map(|leader| self.control_number(leader)),
+            }),
             Err(e) => {
                 log::debug!("{e}");
                 None
--- a/src/edits.rs
+++ b/src/edits.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         error::{Error, Result},
-        model::Version,
+        model::{Digest, Version},
         versions::{Change, ConfigStore},
         wire,
     },
@@ -27,6 +27,24 @@
 #[serde(transparent)]
 pub struct EditId(pub u128);
 
+impl EditId {
+    /// The id of an edit that is named by its text.
+    pub fn of(text: &[u8]) -> Self {
+        let Digest(bytes) = Digest::of(text);
+        let (head, _) = bytes.split_at(16);
+        Self(head.iter().fold(0, |id, byte| id << 8 | u128::from(*byte)))
+    }
+}
+
+/// What another interface keeps with the lists so that it can give them back as it got them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Number by which the operators of that interface name the version.
+    pub number: u64,
+    /// Text of that interface; nothing else reads it.
+    pub extra: String,
+}
+
 /// One edit as it stands in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EditCommand {
@@ -39,6 +57,8 @@
     /// Time at the leader that accepted the command into the log, in milliseconds since the Unix
     /// epoch.
     pub time: u64,
+    /// What the interface by which the edit came keeps with the lists.
+    pub origin: Option<Origin>,
 }
 
 /// Answer to an edit.
@@ -82,6 +102,8 @@
     /// Answers in the order of acceptance.
     answers: IndexMap<EditId, Accepted>,
     applied: u64,
+    /// What another interface keeps with the lists.
+    origin: Option<Origin>,
 }
 
 impl Default for State {
@@ -90,6 +112,7 @@
             store: ConfigStore::with_config(crate::model::Config::default()),
             answers: IndexMap::new(),
             applied: 0,
+            origin: None,
         }
     }
 }
@@ -110,6 +133,11 @@
         self.answers.get(&edit).copied()
     }
 
+    /// What another interface keeps with the lists, if the last edit came through one.
+    pub const fn origin(&self) -> Option<&Origin> {
+        self.origin.as_ref()
+    }
+
     fn decide(&mut self, command: &EditCommand) -> EditReply {
         if let Some(Accepted { version, .. }) = self.accepted(command.edit_id) {
             return EditReply::Repeated { version };
@@ -118,10 +146,15 @@
         if command.base != current {
             return EditReply::Conflict { current };
         }
-        let version = match self.store.edit(&command.change) {
-            Ok(cfg) => cfg.version,
-            Err(e) => return invalid(&e.to_string()),
+        let version = if command.change.is_empty() && command.origin.is_some() {
+            current
+        } else {
+            match self.store.edit(&command.change) {
+                Ok(cfg) => cfg.version,
+                Err(e) => return invalid(&e.to_string()),
+            }
         };
+        self.origin.clone_from(&command.origin);
         if self.answers.len() >= MAX_ANSWERS {
             // One pass for an eighth of the entries instead of one shift for each edit.
             self.answers.drain(..MAX_ANSWERS / 8);
@@ -142,7 +175,7 @@
 /// use anvilbeam::{edits::{self, *}, model::*, versions::Change, wire};
 /// let plan = Plan { name: "bureau".into(), key_hashes: vec![], home_region: "fukuoka".into() };
 /// let change = Change { plans: vec![plan], ..Change::default() };
-/// let command = EditCommand { edit_id: EditId(7), base: Version(0), change, time: 0 };
+/// let command = EditCommand { edit_id: EditId(7), base: Version(0), change, time: 0, origin: None };
 /// let command = wire::encode(&command).unwrap();
 /// let mut state = State::default();
 /// let reply = edits::apply(&mut state, 1, &command);
--- a/src/edits/tests.rs
+++ b/src/edits/tests.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::model::{Digest, Grant, Plan, Rank},
+    crate::model::{Grant, Plan, Rank, Terms},
     proptest::{prelude::*, test_runner::RngSeed},
 };
 
@@ -18,6 +18,7 @@
             ..Change::default()
         },
         time: 1,
+        origin: None,
     }
 }
 
@@ -68,6 +69,8 @@
         servers: vec![],
         capacity: 1,
         rank: Rank::Low,
+        path: "/".into(),
+        terms: Terms::default(),
     });
     let reply = run(&mut state, &wrong);
     let reason =
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -162,6 +162,21 @@
     pub removed: Vec<EndpointKey>,
 }
 
+impl EndpointDelta {
+    /// The first update of a tenure that begins with an empty set.
+    pub const fn emptied(data_centre: DataCentre, epoch: Epoch) -> Self {
+        Self {
+            data_centre,
+            epoch,
+            from: 0,
+            seq: 1,
+            full: true,
+            upserts: Vec::new(),
+            removed: Vec::new(),
+        }
+    }
+}
+
 /// Orders the reports of one daemon, over restarts of the daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
--- a/src/endpoints/directory.rs
+++ b/src/endpoints/directory.rs
@@ -11,7 +11,7 @@
 };
 
 /// Most data centres; bounds positions in messages.
-const MAX_DATA_CENTRES: usize = 64;
+const MAX_DATA_CENTRES: usize = 4096;
 
 /// What an update has changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -119,7 +119,7 @@
             let held = held.map(Entries::position);
             return Err(SetError::Gap { held, update: base });
         }
-        let foreign = |endpoint: &&Endpoint| endpoint.data_centre != delta.data_centre;
+        let foreign = |endpoint: &&Endpoint| !endpoint.belongs_to(&delta.data_centre);
         if let Some(endpoint) = delta.upserts.iter().find(foreign) {
             return Err(SetError::Foreign {
                 key: EndpointKey::of(endpoint),
@@ -151,6 +151,16 @@
         dropped
     }
 
+    /// Sets of daemons that are alone in their set and have an endpoint in it.
+    pub fn direct_sets(&self) -> impl Iterator<Item = &DataCentre> {
+        let alone = |(name, _): &(&DataCentre, &Set)| {
+            let mut endpoints = self.of_data_centre(name).peekable();
+            endpoints.peek().is_some()
+                && endpoints.all(|endpoint| endpoint.daemon.as_str() == name.as_str())
+        };
+        self.sets.iter().filter(alone).map(|(name, _)| name)
+    }
+
     /// Data centres whose set has had no update for [`SILENT_AFTER`]: their relay, or all of
     /// them, can't be reached. Their endpoints stay, but should be tried last.
     pub fn silent(&self, now: Instant) -> Vec<DataCentre> {
--- a/src/endpoints/own.rs
+++ b/src/endpoints/own.rs
@@ -171,7 +171,7 @@
         let short = |name: &str| name.len() <= MAX_NAME;
         let fits = |endpoint: &Endpoint| {
             endpoint.daemon == *daemon
-                && endpoint.data_centre == *data_centre
+                && endpoint.belongs_to(data_centre)
                 && short(endpoint.server.as_str())
                 && short(endpoint.service.as_str())
                 && short(endpoint.region.as_str())
--- a/src/events.rs
+++ b/src/events.rs
@@ -31,6 +31,8 @@
     Ready = 106,
     /// A daemon refuses calls until it has a configuration.
     NotReady = 107,
+    /// The settings were read again.
+    SettingsReloaded = 108,
 
     /// A daemon has a new version in force.
     VersionApplied = 201,
@@ -57,6 +59,8 @@
     EndpointDraining = 307,
     /// A newer endpoint set of a data centre is in use.
     EndpointSetApplied = 308,
+    /// An announcement of a backend server was not understood.
+    AnnouncementRefused = 309,
 
     /// A call has a backend server.
     CallRouted = 401,
@@ -153,6 +157,7 @@
             | Self::ParentLost
             | Self::RelayLeaseEnded
             | Self::EndpointLapsed
+            | Self::AnnouncementRefused
             | Self::ServerEjected
             | Self::ConnectionClosed
             | Self::SuspectMarked
--- a/src/lists.rs
+++ b/src/lists.rs
@@ -9,13 +9,16 @@
 
 pub use {
     diff::{Action, Change, diff},
-    names::check_name,
+    names::{check_name, check_path, check_plan_name},
     parse::check,
 };
 
 use {
     crate::{
-        model::{Config, Grant, GrantKey, Plan, PlanName, Rank, ServerName, ServiceName, Version},
+        model::{
+            Config, Grant, GrantKey, Plan, PlanName, Rank, ServerName, ServiceName, UNLIMITED,
+            Version, Work,
+        },
         yaml,
     },
     indexmap::IndexMap,
@@ -39,6 +42,12 @@
 /// Most problems that [`check`] reports; keeps the answer to a wrong file short.
 pub const MAX_PROBLEMS: usize = 1000;
 
+/// Largest weight of a grant.
+pub const MAX_WEIGHT: u32 = 1_000_000;
+
+/// Most backend servers to which a grant may let one call be sent.
+pub const MAX_ATTEMPTS: u32 = 100;
+
 /// Services that backend servers have announced, each with the names of those servers.
 pub type Announced = BTreeMap<ServiceName, BTreeSet<ServerName>>;
 
@@ -186,10 +195,37 @@
 struct GrantEntry<'a> {
     plan: &'a str,
     service: &'a str,
+    #[serde(skip_serializing_if = "is_root")]
+    path: &'a str,
     #[serde(skip_serializing_if = "<[ServerName]>::is_empty")]
     servers: &'a [ServerName],
+    #[serde(skip_serializing_if = "is_unlimited")]
     capacity: u32,
     rank: Rank,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    weight: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    work: Option<Work>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    timeout: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    target_latency: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    attempts: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    note: Option<&'a str>,
+}
+
+fn is_root(path: &str) -> bool {
+    path == "/"
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+const fn is_unlimited(capacity: &u32) -> bool {
+    *capacity == UNLIMITED
 }
 
 /// The plans as canonical YAML, sorted by name.
@@ -212,15 +248,26 @@
         .map(|grant| GrantEntry {
             plan: grant.plan.as_str(),
             service: grant.service.as_str(),
+            path: grant.path.as_str(),
             servers: &grant.servers,
             capacity: grant.capacity,
             rank: grant.rank,
+            weight: grant.terms.weight,
+            work: grant.terms.work,
+            timeout: grant.terms.timeout_ms.map(millis),
+            target_latency: grant.terms.target_ms.map(millis),
+            attempts: grant.terms.attempts,
+            note: grant.terms.note.as_deref(),
         })
         .collect();
-    grants.sort_by_key(|grant| (grant.plan, grant.service));
+    grants.sort_by_key(|grant| (grant.plan, grant.service, grant.path));
     to_yaml(&GrantsFile { grants })
 }
 
+fn millis(ms: u64) -> String {
+    format!("{ms}ms")
+}
+
 fn to_yaml<T: Serialize>(file: &T) -> String {
     // Structs of strings and numbers always have a YAML form, and a `String` accepts all writes.
     yaml::render(file).expect("lists have a YAML form")
--- a/src/lists/names.rs
+++ b/src/lists/names.rs
@@ -3,6 +3,9 @@
 /// Longest name in bytes.
 pub const MAX_NAME: usize = 63;
 
+/// Longest path prefix in bytes; paths of requests are rarely longer.
+pub const MAX_PATH: usize = 1024;
+
 /// Checks that `name` is 1 to 63 characters of `[a-z0-9-]`.
 ///
 /// ```
@@ -14,6 +17,58 @@
 /// # Errors
 /// The reason, which quotes at most the first 63 characters of `name`.
 pub fn check_name(name: &str) -> Result<(), String> {
+    check(name, "a-z, 0-9 and -", |c| {
+        c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-'
+    })
+}
+
+/// Checks the name of a plan, which may be a host name.
+///
+/// # Errors
+/// Names what is wrong.
+///
+/// # Examples
+/// ```
+/// use anvilbeam::lists::check_plan_name;
+/// assert!(check_plan_name("ward-offices.example").is_ok());
+/// assert!(check_plan_name("Ward Offices").is_err());
+/// ```
+pub fn check_plan_name(name: &str) -> Result<(), String> {
+    check(name, "a-z, 0-9, - and .", |c| {
+        c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.'
+    })
+}
+
+/// Checks a path prefix: it begins and ends with a slash.
+///
+/// # Errors
+/// Names what is wrong.
+///
+/// # Examples
+/// ```
+/// use anvilbeam::lists::check_path;
+/// assert!(check_path("/entry/").is_ok());
+/// assert!(check_path("entry/").is_err());
+/// ```
+pub fn check_path(path: &str) -> Result<(), String> {
+    if path.len() > MAX_PATH {
+        return Err(format!(
+            "path of {} bytes is longer than {MAX_PATH}",
+            path.len()
+        ));
+    }
+    if !path.starts_with('/') || !path.ends_with('/') {
+        return Err(format!("path {path:?} does not begin and end with a slash"));
+    }
+    if !path.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(format!(
+            "path {path:?} contains a character other than visible ASCII"
+        ));
+    }
+    Ok(())
+}
+
+fn check(name: &str, set: &str, allowed: fn(char) -> bool) -> Result<(), String> {
     if name.is_empty() {
         return Err("the name is empty".to_owned());
     }
@@ -24,10 +79,9 @@
             name.len()
         ));
     }
-    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
     if let Some(wrong) = name.chars().find(|c| !allowed(*c)) {
         return Err(format!(
-            "name {name:?} contains {wrong:?}; only a-z, 0-9 and - are allowed"
+            "name {name:?} contains {wrong:?}; only {set} are allowed"
         ));
     }
     Ok(())
--- a/src/lists/parse.rs
+++ b/src/lists/parse.rs
@@ -2,11 +2,14 @@
 
 use {
     super::{
-        GrantPlaces, List, Lists, MAX_CAPACITY, MAX_GRANTS, MAX_PLANS, MAX_PROBLEMS, Place,
-        Problem, check_name,
+        GrantPlaces, List, Lists, MAX_ATTEMPTS, MAX_CAPACITY, MAX_GRANTS, MAX_PLANS, MAX_PROBLEMS,
+        MAX_WEIGHT, Place, Problem, check_name, check_path, check_plan_name,
     },
     crate::{
-        model::{Digest, Grant, GrantKey, Plan, PlanName, Rank},
+        model::{
+            Digest, Grant, GrantKey, PathPrefix, Plan, PlanName, Rank, Terms, UNLIMITED, Work,
+        },
+        settings::parse_duration,
         yaml,
     },
     indexmap::IndexMap,
@@ -47,9 +50,16 @@
 struct GrantEntry {
     plan: Text,
     service: Text,
+    path: Option<Text>,
     servers: Option<Spanned<Vec<Text>>>,
-    capacity: Text,
+    capacity: Option<Text>,
     rank: Text,
+    weight: Option<Text>,
+    work: Option<Text>,
+    timeout: Option<Text>,
+    target_latency: Option<Text>,
+    attempts: Option<Text>,
+    note: Option<Text>,
 }
 
 /// Parses and validates both lists as one whole.
@@ -126,7 +136,7 @@
     for entry in file.plans {
         let mut report = |place, reason| found.push(Place::problem(place, List::Plans, reason));
         let name = entry.name.value.as_str();
-        if let Err(reason) = check_name(name) {
+        if let Err(reason) = check_plan_name(name) {
             report(place(&entry.name), reason);
         }
         if let Err(reason) = check_name(&entry.home_region.value) {
@@ -201,7 +211,7 @@
 ) -> Grant {
     let mut report = |place, reason| found.push(Place::problem(place, List::Grants, reason));
     let plan = entry.plan.value.as_str();
-    if let Err(reason) = check_name(plan) {
+    if let Err(reason) = check_plan_name(plan) {
         report(place(&entry.plan), reason);
     } else if plans.is_some_and(|names| !names.contains(plan)) {
         let reason = format!("plan {plan:?} is not in plans.yaml");
@@ -225,13 +235,25 @@
             report(place(server), reason);
         }
     }
-    let capacity = parse_capacity(&entry.capacity.value).unwrap_or_else(|| {
-        let value = quote(&entry.capacity.value);
-        let reason =
-            format!("capacity {value:?} is not a whole number from 1 to {MAX_CAPACITY} calls/s");
-        report(place(&entry.capacity), reason);
-        1
+    let capacity = entry.capacity.as_ref().map_or(UNLIMITED, |text| {
+        parse_capacity(&text.value).unwrap_or_else(|| {
+            let value = quote(&text.value);
+            let reason = format!(
+                "capacity {value:?} is not a whole number from 1 to {MAX_CAPACITY} calls/s"
+            );
+            report(place(text), reason);
+            1
+        })
     });
+    let path = entry
+        .path
+        .as_ref()
+        .map_or_else(PathPrefix::default, |text| {
+            if let Err(reason) = check_path(&text.value) {
+                report(place(text), reason);
+            }
+            text.value.as_str().into()
+        });
     let rank = entry.rank.value.parse().unwrap_or_else(|_| {
         let value = quote(&entry.rank.value);
         let reason = format!("rank {value:?} is not urgent, high, normal or low");
@@ -244,6 +266,53 @@
         servers: servers.iter().map(|s| s.value.as_str().into()).collect(),
         capacity,
         rank,
+        path,
+        terms: check_terms(entry, found),
+    }
+}
+
+fn check_terms(entry: &GrantEntry, found: &mut Vec<Problem>) -> Terms {
+    let mut report = |text: &Text, name: &str, wanted: &str| {
+        let value = quote(&text.value);
+        let reason = format!("{name} {value:?} is not {wanted}");
+        found.push(place(text).problem(List::Grants, reason));
+    };
+    let mut number = |text: &Option<Text>, name: &str, most: u32| {
+        let text = text.as_ref()?;
+        let value = parse_number(&text.value).filter(|n| (1..=most).contains(n));
+        if value.is_none() {
+            report(text, name, &format!("a whole number from 1 to {most}"));
+        }
+        value
+    };
+    let weight = number(&entry.weight, "weight", MAX_WEIGHT);
+    let attempts = number(&entry.attempts, "attempts", MAX_ATTEMPTS);
+    let mut duration = |text: &Option<Text>, name: &str| {
+        let text = text.as_ref()?;
+        match parse_duration(&text.value) {
+            Ok(duration) => Some(duration.as_millis() as u64),
+            Err(_reason) => {
+                report(text, name, "a duration such as 500ms or 3s");
+                None
+            }
+        }
+    };
+    let timeout_ms = duration(&entry.timeout, "timeout");
+    let target_ms = duration(&entry.target_latency, "target_latency");
+    let work = entry.work.as_ref().and_then(|text| {
+        let work = text.value.parse::<Work>().ok();
+        if work.is_none() {
+            report(text, "work", "safe, unsafe or upload");
+        }
+        work
+    });
+    Terms {
+        weight,
+        work,
+        timeout_ms,
+        target_ms,
+        attempts,
+        note: entry.note.as_ref().map(|text| text.value.clone()),
     }
 }
 
@@ -254,10 +323,14 @@
     }
 }
 
-fn parse_capacity(text: &str) -> Option<u32> {
+fn parse_number(text: &str) -> Option<u32> {
     // `u32::from_str` also takes a leading plus sign, which no other tool writes.
     let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-    let capacity = digits.then(|| text.parse::<u32>().ok()).flatten()?;
+    digits.then(|| text.parse::<u32>().ok()).flatten()
+}
+
+fn parse_capacity(text: &str) -> Option<u32> {
+    let capacity = parse_number(text)?;
     (1..=MAX_CAPACITY).contains(&capacity).then_some(capacity)
 }
 
--- a/src/lists/tests.rs
+++ b/src/lists/tests.rs
@@ -5,7 +5,7 @@
         Action, Announced, Lists, MAX_PLANS, check, diff, render_grants, render_plans, warnings,
     },
     crate::{
-        model::{Digest, Grant, Plan, Rank},
+        model::{Digest, Grant, Plan, Rank, Terms},
         yaml,
     },
     proptest::{prelude::*, test_runner::RngSeed},
@@ -210,6 +210,8 @@
                     servers,
                     capacity,
                     rank,
+                    path: "/".into(),
+                    terms: Terms::default(),
                 };
                 lists.grants.insert(grant.key(), grant);
             }
--- a/src/model.rs
+++ b/src/model.rs
@@ -74,6 +74,29 @@
     /// A region: data centres with fast links between them.
     Region
 );
+name_type!(
+    /// Start of the paths that a grant covers; begins and ends with a slash.
+    PathPrefix
+);
+
+impl Default for PathPrefix {
+    fn default() -> Self {
+        Self::from("/")
+    }
+}
+
+/// Kind of work, which decides whether a request may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Work {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once for each send; a resend by the caller is a new request.
+    Unsafe,
+    /// Like unsafe, with a large body.
+    Upload,
+}
 
 /// Rank of a grant: the order in which work is admitted under load.
 #[derive(
@@ -184,10 +207,34 @@
     pub service: ServiceName,
     /// The backend servers it may use; empty means all of the service.
     pub servers: Vec<ServerName>,
-    /// Calls per second over the whole mesh.
+    /// Calls per second over the whole mesh; [`UNLIMITED`] sets no limit.
     pub capacity: u32,
     /// Order of admission under load.
     pub rank: Rank,
+    /// Paths that it covers.
+    pub path: PathPrefix,
+    /// How its calls are handled.
+    pub terms: Terms,
+}
+
+/// Capacity of a grant that has no limit.
+pub const UNLIMITED: u32 = 0;
+
+/// How the calls of a grant are handled. What is left out follows from the request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Share of the calls among the grants of one plan and path; calls are split by it.
+    pub weight: Option<u32>,
+    /// Kind of work; without it, the method and an idempotency key decide.
+    pub work: Option<Work>,
+    /// Longest time until the answer, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// Time within which answers are wanted, in milliseconds.
+    pub target_ms: Option<u64>,
+    /// Backend servers to which one call may be sent.
+    pub attempts: Option<u32>,
+    /// Text that is kept with the grant and has no effect.
+    pub note: Option<String>,
 }
 
 /// Identifies a grant.
@@ -197,6 +244,8 @@
     pub plan: PlanName,
     /// The service.
     pub service: ServiceName,
+    /// The paths.
+    pub path: PathPrefix,
 }
 
 impl Grant {
@@ -205,6 +254,7 @@
         GrantKey {
             plan: self.plan.clone(),
             service: self.service.clone(),
+            path: self.path.clone(),
         }
     }
 }
@@ -216,7 +266,7 @@
     pub version: Version,
     /// Plans, sorted by name.
     pub plans: IndexMap<PlanName, Plan>,
-    /// Grants, sorted by plan and service.
+    /// Grants, sorted by plan, service and path.
     pub grants: IndexMap<GrantKey, Grant>,
 }
 
@@ -253,3 +303,11 @@
     /// Changes with each start of the backend server.
     pub incarnation: u64,
 }
+
+impl Endpoint {
+    /// Whether it may be in the endpoint set `set`: that of its data centre, or that of its daemon
+    /// alone.
+    pub fn belongs_to(&self, set: &DataCentre) -> bool {
+        self.data_centre == *set || self.daemon.as_str() == set.as_str()
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -13,7 +13,7 @@
         serve::{self, CONNECTION_WINDOW, PING_INTERVAL, SEND_BUFFER, STREAM_WINDOW, Server},
         wire::{self, MAX_MESSAGE},
     },
-    http::{HeaderValue, Request, Response, StatusCode},
+    http::{HeaderName, HeaderValue, Request, Response, StatusCode},
     hyper::{
         body::Incoming,
         client::conn::http2::{self, SendRequest},
@@ -36,7 +36,7 @@
 };
 
 /// Header with the token that proves that a process belongs to the mesh.
-const TOKEN_HEADER: &str = "anvilbeam-mesh";
+pub const TOKEN: HeaderName = HeaderName::from_static("anvilbeam-mesh");
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -103,7 +103,7 @@
         mut req: Request<Body>,
         deadline: Instant,
     ) -> std::result::Result<Response<Incoming>, SendError> {
-        req.headers_mut().insert(TOKEN_HEADER, self.token.clone());
+        req.headers_mut().insert(TOKEN, self.token.clone());
         let connection = self.connection(address);
         let mut sender = sender_of(&connection, address, deadline).await?;
         loop {
@@ -302,7 +302,7 @@
         move |req: Request<Incoming>, peer| {
             let allowed = req
                 .headers()
-                .get(TOKEN_HEADER)
+                .get(TOKEN)
                 .is_some_and(|sent| same_secret(sent.as_bytes(), token.as_bytes()));
             let handler = handler.clone();
             async move {
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,20 @@
+//! Headers of the platform.
+
+use {
+    crate::dialect::{Callers, Dialect},
+    http::HeaderName,
+};
+
+/// The dialect of the platform.
+pub const fn dialect() -> Dialect {
+    Dialect {
+        callers: Callers::Host,
+        timeout_ms: HeaderName::from_static("anvilbeam-deadline-ms"),
+        request_id: Some(HeaderName::from_static("anvilbeam-request-id")),
+        server: Some(HeaderName::from_static("anvilbeam-expected-instance")),
+        caller_service: Some(HeaderName::from_static("anvilbeam-caller-service")),
+        signature: Some(HeaderName::from_static("anvilbeam-response-signature")),
+        not_run: HeaderName::from_static("anvilbeam-not-executed"),
+        load: Some(HeaderName::from_static("anvilbeam-server-load")),
+    }
+}
--- a/src/program.rs
+++ b/src/program.rs
@@ -7,7 +7,8 @@
         daemon::{self, Daemon},
         error::{Error, Result},
         events::Event,
-        log_event, logging, settings,
+        log_event, logging,
+        settings::{self, Secret},
     },
     gumdrop::Options as _,
     std::{
@@ -22,14 +23,15 @@
     },
 };
 
-/// Threads of a daemon; it shares its VM with the backend server.
-const DAEMON_THREADS: usize = 2;
+/// Interval at which a daemon looks for changed settings, which come without a signal at times.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Interval at which a control process looks whether its replica has stopped.
 const HEALTH_CHECK: Duration = Duration::from_millis(200);
 
 /// What a program is asked to do.
 struct Start {
     settings: PathBuf,
+    token: Option<Secret>,
     check: bool,
     bootstrap: bool,
 }
@@ -37,12 +39,15 @@
 /// Runs `anvilbeam-control`.
 pub fn control_main() -> ExitCode {
     main_of("anvilbeam-control", |start| {
-        let cfg = settings::Control::load(&start.settings)?;
+        let cfg = match start.token {
+            Some(token) => settings::Control::load_with_token(&start.settings, token)?,
+            None => settings::Control::load(&start.settings)?,
+        };
         if start.check {
             return Ok(());
         }
         logging::start(&cfg.log)?;
-        let runtime = runtime(DAEMON_THREADS)?;
+        let runtime = runtime()?;
         runtime.block_on(run_control(cfg, start.bootstrap))
     })
 }
@@ -50,7 +55,10 @@
 /// Runs `anvilbeam-daemon`.
 pub fn daemon_main() -> ExitCode {
     main_of("anvilbeam-daemon", |start| {
-        let cfg = settings::Daemon::load(&start.settings)?;
+        let cfg = match start.token {
+            Some(token) => settings::Daemon::load_with_token(&start.settings, token)?,
+            None => settings::Daemon::load(&start.settings)?,
+        };
         if start.bootstrap {
             return Err(invalid("--bootstrap", "is for anvilbeam-control only"));
         }
@@ -58,8 +66,8 @@
             return Ok(());
         }
         logging::start(&cfg.log)?;
-        let runtime = runtime(DAEMON_THREADS)?;
-        runtime.block_on(run_daemon(cfg))
+        let runtime = runtime()?;
+        runtime.block_on(run_daemon(cfg, start.settings))
     })
 }
 
@@ -104,6 +112,10 @@
         return Err(invalid("--settings", "is missing"));
     };
     Ok(Some(Start {
+        token: cli
+            .token_file
+            .map(|file| settings::read_token(Path::new(&file)))
+            .transpose()?,
         settings: Path::new(&path).to_owned(),
         check: cli.check,
         bootstrap: cli.bootstrap,
@@ -128,44 +140,62 @@
     }
 }
 
-fn runtime(threads: usize) -> Result<Runtime> {
-    Builder::new_multi_thread()
-        .worker_threads(threads)
+/// One thread: the processes share small VMs, and a daemon has a fraction of a core.
+fn runtime() -> Result<Runtime> {
+    Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| invalid("runtime", &e.to_string()))
 }
 
 /// The signals that ask for a graceful stop.
-struct Stop {
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    Stop,
+    Reload,
+}
+
+struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
-impl Stop {
+impl Signals {
     fn new() -> Result<Self> {
         let listen = |kind| signal(kind).map_err(|e| invalid("signal", &e.to_string()));
         Ok(Self {
             terminate: listen(SignalKind::terminate())?,
             interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
         })
     }
 
-    async fn asked(&mut self) {
+    async fn next(&mut self) -> Asked {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.hangup.recv() => Asked::Reload,
         }
     }
+
+    async fn stop(&mut self) {
+        while self.next().await != Asked::Stop {}
+    }
 }
 
 async fn run_control(cfg: settings::Control, bootstrap: bool) -> Result<()> {
-    let mut stop = Stop::new()?;
+    let mut signals = Signals::new()?;
     let listeners = control::Listeners::bind(&cfg).await?;
     let control = Control::start(cfg, listeners, bootstrap).await?;
     loop {
         tokio::select! {
-            () = stop.asked() => break,
+            asked = signals.next() => match asked {
+                Asked::Stop => break,
+                // A replica uses its seeds only to join, and reads them at its start.
+                Asked::Reload => log_event!(Event::SettingsReloaded, changed = false),
+            },
             () = sleep(HEALTH_CHECK) => {
                 if control.has_stopped() {
                     break;
@@ -177,15 +207,39 @@
     control.stop().await
 }
 
-async fn run_daemon(cfg: settings::Daemon) -> Result<()> {
-    let mut stop = Stop::new()?;
+async fn run_daemon(cfg: settings::Daemon, path: PathBuf) -> Result<()> {
+    let mut signals = Signals::new()?;
     let listeners = daemon::Listeners::bind(&cfg).await?;
     let daemon = Daemon::start(cfg, listeners)?;
-    stop.asked().await;
+    loop {
+        tokio::select! {
+            asked = signals.next() => {
+                if asked == Asked::Stop {
+                    break;
+                }
+                reload(&daemon, &path, true);
+            }
+            () = sleep(SETTINGS_CHECK) => reload(&daemon, &path, false),
+        }
+    }
     // A second signal ends the wait for calls in flight.
     tokio::select! {
         _ = daemon.stop() => {}
-        () = stop.asked() => log::warn!("stopped with calls in flight"),
+        () = signals.stop() => log::warn!("stopped with calls in flight"),
     }
     Ok(())
 }
+
+/// Reads the settings again and applies what may change while the daemon runs: the control
+/// replicas. The other settings take effect at the next start.
+fn reload(daemon: &Daemon, path: &Path, asked: bool) {
+    match settings::Daemon::load_with_token(path, daemon.token()) {
+        Ok(cfg) => {
+            let changed = daemon.set_control(cfg.control);
+            if asked || changed {
+                log_event!(Event::SettingsReloaded, changed = changed);
+            }
+        }
+        Err(e) => log_event!(Event::SettingsRefused, reason = e),
+    }
+}
--- a/src/relays/table.rs
+++ b/src/relays/table.rs
@@ -166,7 +166,8 @@
         }
     }
 
-    fn next_epoch(&mut self) -> Epoch {
+    /// An epoch that is newer than all that were granted before.
+    pub fn next_epoch(&mut self) -> Epoch {
         self.grants += 1;
         Epoch::granted(self.term, self.grants)
     }
--- a/src/relays/uplink.rs
+++ b/src/relays/uplink.rs
@@ -70,6 +70,8 @@
     last_report: Option<Instant>,
     reason: Option<String>,
     random: u64,
+    /// Whether control is the only parent that it may have.
+    direct: bool,
 }
 
 impl Uplink {
@@ -105,9 +107,22 @@
             last_report: None,
             reason: None,
             random: 0,
+            direct: false,
         }
     }
 
+    /// A daemon whose only parent is control and that is alone in its part of the tree.
+    #[must_use]
+    pub const fn direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
+    /// Sets the number of control replicas that can be asked.
+    pub fn set_controls(&mut self, controls: u32) {
+        self.controls = controls.max(1);
+    }
+
     /// The configuration in force, if any.
     pub fn in_force(&self) -> Option<&Arc<Config>> {
         self.store.in_force()
--- a/src/relays/uplink/asking.rs
+++ b/src/relays/uplink/asking.rs
@@ -15,6 +15,10 @@
 /// Bound of the wait after the first failed request; it doubles up to [`LONGEST_WAIT`].
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
+/// Bound of the wait before a daemon asks for a parent where all of them ask control; control
+/// answers some hundred of them within it.
+const DIRECT_WAIT: Duration = Duration::from_millis(250);
+
 /// Time for which a newer version must be seen elsewhere before the parent counts as stale: an
 /// edit takes less on its way through the tree.
 const STALE: Duration = Duration::from_secs(2);
@@ -61,6 +65,7 @@
         match self.asking.state {
             State::Idle if self.needs_parent(now) => {
                 let bound = match (&self.link, self.store.floor()) {
+                    (None, _) if self.direct => DIRECT_WAIT,
                     (None, _) => FIRST_WAIT,
                     (Some(_), None) => RETRY_WAIT,
                     (Some(_), Some(_)) => LONGEST_WAIT,
@@ -88,7 +93,7 @@
         // A region relay goes on asking all replicas in turn, because an old leader that is cut
         // off from its group may still serve it. There are few region relays.
         let leads = matches!(self.role, Role::RegionRelay { .. });
-        leads
+        (leads && !self.direct)
             || link.interim
             || detached
             || stale
@@ -99,7 +104,8 @@
     /// Asks after a full-jitter wait, unless a request is on its way.
     pub(super) fn ask_soon(&mut self, now: Instant) {
         if !matches!(self.asking.state, State::Waiting { .. }) {
-            let at = self.jitter(now, FIRST_WAIT);
+            let bound = if self.direct { DIRECT_WAIT } else { FIRST_WAIT };
+            let at = self.jitter(now, bound);
             self.asking.state = State::At(at);
         }
     }
@@ -126,8 +132,13 @@
         self.asking.failures = self.asking.failures.saturating_add(1);
         self.asking.control = (self.asking.control + 1) % self.controls;
         self.asking.redirects = 0;
+        let longest = if self.direct {
+            FIRST_WAIT
+        } else {
+            LONGEST_WAIT
+        };
         let bound = RETRY_WAIT * 2_u32.pow(self.asking.failures.min(4));
-        let at = self.jitter(now, bound.min(LONGEST_WAIT));
+        let at = self.jitter(now, bound.min(longest));
         self.asking.state = State::At(at);
     }
 
--- a/src/relays/uplink/sets.rs
+++ b/src/relays/uplink/sets.rs
@@ -36,7 +36,9 @@
         let positions = self.link.as_ref().and_then(|link| link.positions.as_ref());
         let unknown_above =
             positions.is_some_and(|held| held.iter().all(|held| held.data_centre != *data_centre));
-        let settled = unknown_above && now >= since + SETTLE || now >= since + TAKEOVER_LEASE;
+        // Nobody else has written the set of a daemon that is alone in it.
+        let settled =
+            self.direct || unknown_above && now >= since + SETTLE || now >= since + TAKEOVER_LEASE;
         if !known && !settled {
             return;
         }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::model::ServerName,
-    http::Method,
+    http::{HeaderName, Method},
     std::time::{Duration, Instant},
     strum::Display,
 };
@@ -19,7 +19,7 @@
 
 /// Marks a failure that some level has already retried or declined to retry, and a call that is
 /// itself a retry; its value is `1`.
-pub const RETRIED_HEADER: &str = "anvilbeam-retried";
+pub const RETRIED_HEADER: HeaderName = HeaderName::from_static("anvilbeam-retried");
 /// Sends of one call by one level, the first one included.
 pub const MAX_ATTEMPTS: u32 = 3;
 /// First upper bound of a wait without a hint; doubles with each attempt.
@@ -111,14 +111,16 @@
 /// The call as this level knows it.
 #[derive(Clone, Debug)]
 pub struct Call {
-    /// Method of the request.
-    pub method: Method,
+    /// Whether a second run does no harm.
+    pub repeatable: bool,
     /// When the caller gives up.
     pub deadline: Instant,
     /// What can still be sent of the body.
     pub body: Body,
     /// Servers that failed so far, the last one last; its length is the number of attempts.
     pub tried: Vec<ServerName>,
+    /// Backend servers to which the call may be sent.
+    pub attempts: u32,
     /// Whether the request arrived with `RETRIED_HEADER`.
     pub is_retry: bool,
 }
@@ -197,7 +199,8 @@
 /// use std::time::{Duration, Instant};
 /// let now = Instant::now();
 /// let call = Call {
-///     method: http::Method::POST,
+///     repeatable: false,
+///     attempts: 3,
 ///     deadline: now + Duration::from_secs(1),
 ///     body: Body::Replayable,
 ///     tried: vec!["v1".into()],
@@ -243,14 +246,14 @@
     if failure.retried_below || call.is_retry {
         return Some(GiveUp::OtherLevel);
     }
-    if !failure.cause.is_not_run() && !is_idempotent(&call.method) {
+    if !failure.cause.is_not_run() && !call.repeatable {
         return Some(GiveUp::NotIdempotent);
     }
     if call.body == Body::Streamed {
         return Some(GiveUp::BodyStreamed);
     }
     let attempts = call.tried.len();
-    (attempts >= MAX_ATTEMPTS as usize).then_some(GiveUp::Attempts)
+    (attempts >= call.attempts as usize).then_some(GiveUp::Attempts)
 }
 
 /// Wait before the next attempt.
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -137,7 +137,8 @@
         let now = Instant::now();
         let deadline = now + Duration::from_millis(left);
         let call = Call {
-            method: method.parse().expect("a valid method"),
+            repeatable: is_idempotent(&method.parse().expect("a valid method")),
+            attempts: MAX_ATTEMPTS,
             deadline,
             body: if streamed { Body::Streamed } else { Body::Replayable },
             tried: (0..attempts).map(|n| ServerName::from(&*format!("v{n}"))).collect(),
@@ -196,7 +197,8 @@
         };
     };
     let mut call = Call {
-        method: level.method.clone(),
+        repeatable: is_idempotent(&level.method),
+        attempts: MAX_ATTEMPTS,
         deadline: now + Duration::from_mins(10),
         body: level.body,
         tried: Vec::new(),
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::model::{
-        Config, Digest, Endpoint, Grant, PlanName, ServerName, ServerState, ServiceName,
+        Config, Digest, Endpoint, Grant, PathPrefix, PlanName, ServerName, ServerState, ServiceName,
     },
     indexmap::{Equivalent, IndexMap},
     std::{collections::HashMap, fmt, sync::Arc},
@@ -50,7 +50,7 @@
     /// Candidates of grants that name no servers.
     unrestricted: Candidates,
     /// Candidates of grants that name servers, by plan.
-    restricted: HashMap<PlanName, Result<Candidates, RouteRefusal>>,
+    restricted: HashMap<(PlanName, PathPrefix), Result<Candidates, RouteRefusal>>,
 }
 
 impl ServiceRoutes {
@@ -73,7 +73,7 @@
             .filter(|grant| !grant.servers.is_empty())
             .map(|grant| {
                 (
-                    grant.plan.clone(),
+                    (grant.plan.clone(), grant.path.clone()),
                     restrict(here, &endpoints, &grant.servers),
                 )
             })
@@ -90,7 +90,8 @@
             return Err(RouteRefusal::NoServerAnnounced);
         }
         if !grant.servers.is_empty() {
-            return match self.restricted.get(&grant.plan) {
+            let key = (grant.plan.clone(), grant.path.clone());
+            return match self.restricted.get(&key) {
                 Some(Ok(candidates)) => Ok(candidates),
                 Some(Err(refusal)) => Err(*refusal),
                 None => Err(RouteRefusal::NoGrant),
@@ -128,16 +129,21 @@
     Ok(candidates)
 }
 
+type Paths = HashMap<PlanName, HashMap<PathPrefix, Vec<usize>>>;
+
 /// Borrowed form of `GrantKey`, so that a lookup allocates nothing.
 #[derive(Hash)]
 struct GrantRef<'a> {
     plan: &'a str,
     service: &'a str,
+    path: &'a str,
 }
 
 impl Equivalent<crate::model::GrantKey> for GrantRef<'_> {
     fn equivalent(&self, key: &crate::model::GrantKey) -> bool {
-        self.plan == key.plan.as_str() && self.service == key.service.as_str()
+        self.plan == key.plan.as_str()
+            && self.service == key.service.as_str()
+            && self.path == key.path.as_str()
     }
 }
 
@@ -149,6 +155,8 @@
     callers: Arc<HashMap<Digest, PlanName>>,
     /// Indexes of the grants of each service in `config.grants`.
     grants: Arc<HashMap<ServiceName, Vec<usize>>>,
+    /// Places of the grants in the configuration, by plan and path.
+    paths: Arc<Paths>,
     services: IndexMap<ServiceName, Arc<ServiceRoutes>>,
 }
 
@@ -213,7 +221,11 @@
         here: Arc<Location>,
     ) -> Self {
         let mut grants: HashMap<ServiceName, Vec<usize>> = HashMap::new();
+        let mut paths = Paths::new();
         for (index, grant) in config.grants.values().enumerate() {
+            let of_plan = paths.entry(grant.plan.clone()).or_default();
+            let of_path = of_plan.entry(grant.path.clone()).or_default();
+            of_path.push(index);
             match grants.get_mut(&grant.service) {
                 Some(list) => list.push(index),
                 None => {
@@ -236,6 +248,7 @@
         Self {
             callers: Arc::new(callers.collect()),
             grants: Arc::new(grants),
+            paths: Arc::new(paths),
             services,
             here,
             config,
@@ -247,6 +260,11 @@
         &self.config
     }
 
+    /// Whether a grant names the service.
+    pub fn grants_service(&self, service: &ServiceName) -> bool {
+        self.grants.contains_key(service)
+    }
+
     /// The plan that `key` proves, if any.
     ///
     /// ```
@@ -273,15 +291,52 @@
     /// # Errors
     /// The reason why the call has no route; it has not run.
     pub fn route(&self, plan: &PlanName, service: &ServiceName) -> Result<Route<'_>, RouteRefusal> {
-        let key = GrantRef {
-            plan: plan.as_str(),
-            service: service.as_str(),
+        self.route_to(plan, service, "/")
+    }
+
+    /// The route of a plan to a service for one path: the longest prefix that is granted.
+    ///
+    /// # Errors
+    /// Why there is no route.
+    pub fn route_to(
+        &self,
+        plan: &PlanName,
+        service: &ServiceName,
+        path: &str,
+    ) -> Result<Route<'_>, RouteRefusal> {
+        let granted = prefixes(path).find_map(|path| {
+            let key = GrantRef {
+                plan: plan.as_str(),
+                service: service.as_str(),
+                path,
+            };
+            self.config.grants.get(&key)
+        });
+        self.route_of(granted.ok_or(RouteRefusal::NoGrant)?)
+    }
+
+    /// The grants of a plan with the longest prefix of `path`; empty when nothing is granted.
+    pub fn grants_at(&self, plan: &str, path: &str) -> Vec<&Grant> {
+        let Some(of_plan) = self.paths.get(plan) else {
+            return Vec::new();
         };
-        let grant = self.config.grants.get(&key).ok_or(RouteRefusal::NoGrant)?;
-        if !self.config.plans.contains_key(plan) {
+        let found = prefixes(path).find_map(|prefix| of_plan.get(prefix));
+        let found = found.into_iter().flatten();
+        found
+            .filter_map(|at| self.config.grants.get_index(*at))
+            .map(|(_, grant)| grant)
+            .collect()
+    }
+
+    /// The route of one grant of this configuration.
+    ///
+    /// # Errors
+    /// Why there is no route.
+    pub fn route_of<'a>(&'a self, grant: &'a Grant) -> Result<Route<'a>, RouteRefusal> {
+        if !self.config.plans.contains_key(&grant.plan) {
             return Err(RouteRefusal::NoGrant);
         }
-        let routes = self.services.get(service);
+        let routes = self.services.get(&grant.service);
         let routes = routes.ok_or(RouteRefusal::NoServerAnnounced)?;
         let candidates = routes.candidates(grant)?;
         Ok(Route { grant, candidates })
@@ -298,7 +353,7 @@
             size_of::<ServiceRoutes>()
                 + endpoints * size_of::<Endpoint>()
                 + (endpoints + listed) * size_of::<Arc<Endpoint>>()
-                + routes.restricted.capacity() * size_of::<(PlanName, Candidates)>()
+                + routes.restricted.capacity() * size_of::<(PlanName, PathPrefix, Candidates)>()
         };
         self.services.values().map(service).sum::<usize>()
             + self.services.capacity() * size_of::<(ServiceName, Arc<ServiceRoutes>)>()
@@ -320,6 +375,13 @@
 }
 
 /// Grants of `service`, by the index that `Snapshot` keeps.
+/// Prefixes of a path that end with a slash, the longest first.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let path = path.split(['?', '#']).next().unwrap_or_default();
+    let slashes = path.rmatch_indices('/');
+    slashes.map(move |(at, _)| &path[..=at])
+}
+
 fn grants_of<'a>(
     config: &'a Config,
     index: &'a HashMap<ServiceName, Vec<usize>>,
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::model::{DaemonName, DataCentre, GrantKey, Plan, Rank, Region, Version},
+    crate::model::{DaemonName, DataCentre, GrantKey, Plan, Rank, Region, Terms, Version},
     crate::seeded::seeded,
     proptest::prelude::*,
     strum::IntoEnumIterator,
@@ -48,6 +48,8 @@
             servers: servers.collect(),
             capacity: 1,
             rank: Rank::Normal,
+            path: "/".into(),
+            terms: Terms::default(),
         };
         (grant.key(), grant)
     });
@@ -78,6 +80,7 @@
     let key = GrantKey {
         plan: plan.into(),
         service: service.into(),
+        path: "/".into(),
     };
     if !config.plans.contains_key(plan) {
         return Err(RouteRefusal::NoGrant);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,9 +15,10 @@
 
 use {
     crate::{
+        dialect::Dialect,
         error::{Error, Result},
         lists::check_name,
-        yaml,
+        platform, yaml,
     },
     log::LevelFilter,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -87,6 +88,38 @@
     Json,
 }
 
+/// What callers, backend servers and operators speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Interface {
+    /// The interface of this project.
+    #[default]
+    Own,
+    /// The interface of the Bureau's platform, besides our own for operators.
+    Platform,
+}
+
+impl Interface {
+    /// Headers and rules towards callers and backend servers.
+    pub const fn dialect(self) -> Dialect {
+        match self {
+            Self::Own => Dialect::own(),
+            Self::Platform => platform::dialect(),
+        }
+    }
+}
+
+/// How versions and endpoint sets reach a daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TreeShape {
+    /// Through the relays of the region and the data centre.
+    #[default]
+    Relayed,
+    /// From the leader of the config group; for meshes of some hundred daemons.
+    Direct,
+}
+
 /// A setting that does not fit the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Wrong {
@@ -183,6 +216,14 @@
 }
 
 /// Takes the token from `token` or from the file that `file` names.
+/// Reads a token from a file that the command line names, relative to the working directory.
+///
+/// # Errors
+/// The file can't be read.
+pub fn read_token(path: &Path) -> Result<Secret> {
+    read(path, MAX_SETTINGS).map(|text| Secret::from(text.trim()))
+}
+
 fn take_token(
     token: &mut Option<Secret>,
     file: Option<&Path>,
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -1,7 +1,7 @@
 //! Settings of `anvilbeam-control`.
 
 use {
-    super::{Human, Log, Secret, Wrong, check_token, named, take_token},
+    super::{Human, Interface, Log, Secret, Wrong, check_token, named, take_token},
     crate::{
         error::Result,
         model::{DataCentre, Digest, Region},
@@ -74,6 +74,22 @@
     pub operator_address: Option<SocketAddr>,
     /// Folder for the log and the snapshots, relative to the settings file.
     pub data_folder: PathBuf,
+    /// Addresses of some replicas of the group. A replica that is named here founds the group with
+    /// the others if `first_start` is set; any other asks them to join.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Peer port of the replicas, where `seeds` names other addresses on their VMs.
+    pub seed_port: Option<u16>,
+    /// Whether the group does not exist yet.
+    #[serde(default)]
+    pub first_start: bool,
+    /// VMs that may be lost with their disks at once; the group accepts no edit before it has
+    /// enough voters for that.
+    #[serde(default)]
+    pub tolerated_losses: usize,
+    /// What operators speak.
+    #[serde(default)]
+    pub interface: Interface,
     /// The replicas that found the group. A replica that joins later is not among them.
     #[serde(default)]
     pub bootstrap: Vec<Replica>,
@@ -107,6 +123,17 @@
         super::load(path, Self::finish)
     }
 
+    /// Like [`Self::load`], for settings that hold no mesh token.
+    ///
+    /// # Errors
+    /// Like [`Self::load`].
+    pub fn load_with_token(path: &Path, token: Secret) -> Result<Self> {
+        super::load(path, |cfg: &mut Self, folder| {
+            cfg.mesh_token = Some(token);
+            cfg.finish(folder)
+        })
+    }
+
     /// Parses and checks `text` as if it stood in the file at `path`.
     ///
     /// # Errors
@@ -132,6 +159,9 @@
             self.mesh_token_file.as_deref(),
             folder,
         )?;
+        if let Some(port) = self.seed_port {
+            self.seeds.iter_mut().for_each(|at| at.set_port(port));
+        }
         self.data_folder = folder.join(&self.data_folder);
         self.check()
     }
@@ -165,7 +195,7 @@
             let reason = format!("{address} is also peer_address");
             return Err(Wrong::new("operator_address", reason));
         }
-        if self.operators.is_empty() {
+        if self.operators.is_empty() && self.interface == Interface::Own {
             let reason = "is empty; nobody could edit the lists";
             return Err(Wrong::new("operators", reason));
         }
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -1,10 +1,12 @@
 //! Settings of `anvilbeam-daemon`.
 
 use {
-    super::{Human, Log, Secret, Wrong, check_token, named, take_token},
+    super::{Human, Interface, Log, Secret, TreeShape, Wrong, check_token, named, take_token},
     crate::{
+        announce::ANNOUNCE_LEASE,
+        call::MAX_REPLAY,
         error::Result,
-        model::{DaemonName, DataCentre, Region},
+        model::{DaemonName, DataCentre, Region, ServiceName},
     },
     indexmap::IndexMap,
     serde::Deserialize,
@@ -40,6 +42,30 @@
     pub advertise: Option<SocketAddr>,
     /// Peer addresses of the config group.
     pub control: Vec<SocketAddr>,
+    /// Peer port of the control replicas, where `control` names other addresses on their VMs.
+    pub control_port: Option<u16>,
+    /// Address for health and readiness questions besides the local address.
+    pub ready_address: Option<SocketAddr>,
+    /// What callers, the backend server and the platform speak.
+    #[serde(default)]
+    pub interface: Interface,
+    /// Service of the backend server beside the daemon; calls that begin here carry its name.
+    pub service: Option<ServiceName>,
+    /// Whether versions come through relays or from control directly.
+    #[serde(default)]
+    pub tree: TreeShape,
+    /// Time for which an announcement is valid.
+    #[serde_as(as = "Human")]
+    #[serde(default = "default_announce_lease")]
+    pub announce_lease: Duration,
+    /// Largest body in bytes that is kept so that a request can be sent again.
+    #[serde_as(as = "Human")]
+    #[serde(default = "default_replay_limit")]
+    pub replay_limit: u64,
+    /// Longest shutdown; without it, calls in flight may take minutes.
+    #[serde_as(as = "Option<Human>")]
+    #[serde(default)]
+    pub grace: Option<Duration>,
     /// Peer addresses of the claims group of each region.
     #[serde(default)]
     pub claims: IndexMap<Region, Vec<SocketAddr>>,
@@ -56,6 +82,14 @@
     pub log: Log,
 }
 
+const fn default_announce_lease() -> Duration {
+    ANNOUNCE_LEASE
+}
+
+const fn default_replay_limit() -> u64 {
+    MAX_REPLAY
+}
+
 const fn default_timeout() -> Duration {
     DEFAULT_TIMEOUT
 }
@@ -70,6 +104,17 @@
         super::load(path, Self::finish)
     }
 
+    /// Like [`Self::load`], for settings that hold no mesh token.
+    ///
+    /// # Errors
+    /// Like [`Self::load`].
+    pub fn load_with_token(path: &Path, token: Secret) -> Result<Self> {
+        super::load(path, |cfg: &mut Self, folder| {
+            cfg.mesh_token = Some(token);
+            cfg.finish(folder)
+        })
+    }
+
     /// Parses and checks `text` as if it stood in the file at `path`.
     ///
     /// # Errors
@@ -84,6 +129,9 @@
     }
 
     fn finish(&mut self, folder: &Path) -> std::result::Result<(), Wrong> {
+        if let Some(port) = self.control_port {
+            self.control.iter_mut().for_each(|at| at.set_port(port));
+        }
         take_token(
             &mut self.mesh_token,
             self.mesh_token_file.as_deref(),
--- a/src/settings/units.rs
+++ b/src/settings/units.rs
@@ -70,15 +70,15 @@
 /// The reason, with the value.
 pub fn parse_duration(text: &str) -> Result<Duration, String> {
     let expected = || format!("{text:?} is not a duration such as 500ms, 3s or 2m");
-    let (count, unit) = split(text).ok_or_else(expected)?;
-    let millis: u64 = match unit {
-        "ms" => 1,
-        "s" => 1000,
-        "m" => 60_000,
-        "h" => 3_600_000,
+    let (count, unit) = split_decimal(text).ok_or_else(expected)?;
+    let millis = match unit {
+        "ms" => 1.0,
+        "s" => 1000.0,
+        "m" => 60_000.0,
+        "h" => 3_600_000.0,
         _ => return Err(expected()),
     };
-    let duration = Duration::from_millis(count.saturating_mul(millis));
+    let duration = Duration::from_millis((count * millis).round() as u64);
     if duration.is_zero() || duration > MAX_DURATION {
         return Err(format!("{text:?} is not between 1ms and 24h"));
     }
@@ -110,6 +110,13 @@
 }
 
 /// The digits of `text` as a number, and the unit after them.
+fn split_decimal(text: &str) -> Option<(f64, &str)> {
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let count = &text[..end];
+    let plain = count.starts_with(|c: char| c.is_ascii_digit()) && !count.ends_with('.');
+    Some((plain.then(|| count.parse().ok()).flatten()?, &text[end..]))
+}
+
 fn split(text: &str) -> Option<(u64, &str)> {
     let end = text.find(|c: char| !c.is_ascii_digit())?;
     let count = text[..end].parse().ok()?;
--- a/src/tree_wire.rs
+++ b/src/tree_wire.rs
@@ -43,7 +43,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttachAnswer {
     /// The leader decided.
-    Reply(AttachReply),
+    Reply {
+        /// The answer of the leader.
+        reply: AttachReply,
+        /// Peer addresses of the members of the config group.
+        members: Vec<SocketAddr>,
+    },
     /// Another replica leads.
     NotLeader(Option<SocketAddr>),
 }
--- a/src/versions/change.rs
+++ b/src/versions/change.rs
@@ -216,7 +216,9 @@
             .iter()
             .map(|name| name.as_str().len() + 8)
             .sum();
-        if names + grant.plan.as_str().len() + grant.service.as_str().len() > MAX_RECORD {
+        let fixed = grant.plan.as_str().len() + grant.service.as_str().len();
+        let note = grant.terms.note.as_ref().map_or(0, String::len);
+        if names + fixed + grant.path.as_str().len() + note > MAX_RECORD {
             return fail(Record::Grant(grant.key()), "is too large");
         }
     }
--- a/src/versions/digest.rs
+++ b/src/versions/digest.rs
@@ -7,7 +7,7 @@
 //! it guards against lost, repeated and mixed-up records.
 
 use {
-    crate::model::{Config, Digest, Grant, Plan, Version},
+    crate::model::{Config, Digest, Grant, Plan, Terms, Version},
     serde::{Deserialize, Serialize},
     sha2::{Digest as _, Sha256},
 };
@@ -96,10 +96,34 @@
     }
     hash.update(grant.capacity.to_le_bytes());
     hash.update([grant.rank.index() as u8]);
+    text(&mut hash, grant.path.as_str());
+    terms(&mut hash, &grant.terms);
     limbs(hash)
 }
 
 /// Lengths keep the boundaries between fields unambiguous.
+fn terms(hash: &mut Sha256, terms: &Terms) {
+    let Terms {
+        weight,
+        work,
+        timeout_ms,
+        target_ms,
+        attempts,
+        note,
+    } = terms;
+    number(hash, weight.map(u64::from));
+    number(hash, work.map(|work| work as u64));
+    number(hash, *timeout_ms);
+    number(hash, *target_ms);
+    number(hash, attempts.map(u64::from));
+    text(hash, note.as_deref().unwrap_or_default());
+}
+
+fn number(hash: &mut Sha256, value: Option<u64>) {
+    hash.update([u8::from(value.is_some())]);
+    hash.update(value.unwrap_or_default().to_le_bytes());
+}
+
 fn length(hash: &mut Sha256, len: usize) {
     hash.update((len as u64).to_le_bytes());
 }
--- a/src/versions/tests.rs
+++ b/src/versions/tests.rs
@@ -20,6 +20,8 @@
         servers: vec!["server-1".into()],
         capacity,
         rank: Rank::Normal,
+        path: "/".into(),
+        terms: Terms::default(),
     }
 }
 
--- a/tests/tree/mod.rs
+++ b/tests/tree/mod.rs
@@ -101,6 +101,7 @@
             base,
             change,
             time: 0,
+            origin: None,
         };
         self.log.push(wire::encode(&command).unwrap());
         let mut reply = EditReply::Invalid {
--- a/tests/tree/nodes.rs
+++ b/tests/tree/nodes.rs
@@ -116,6 +116,8 @@
         servers: vec![],
         capacity: n.into(),
         rank: Rank::High,
+        path: "/".into(),
+        terms: Terms::default(),
     };
     Change {
         plans: vec![plan],
