Choose the data centre by reported load, and recover faster

Cause: a daemon saw only its own calls, so a zone's backend server filled up while others idled; after a power loss daemons waited 1.5 s for a relay that they don't need, and elections took one to two seconds.

Change: owner daemons report running and waiting calls with each answer; an entry daemon leaves its data centre when another is expected to answer in less than three quarters of the time. Daemons that subscribe to control directly are not held back after an election. election_timeout is a setting.

--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -230,7 +230,8 @@
         return false;
     }
     let mut call = Call {
-        method: http::Method::GET,
+        repeatable: true,
+        attempts: anvilbeam::retry::MAX_ATTEMPTS,
         deadline: now + Duration::from_mins(1),
         body: Body::Replayable,
         tried: Vec::new(),
--- a/examples/slopes/calls.rs
+++ b/examples/slopes/calls.rs
@@ -7,16 +7,17 @@
     },
     anvilbeam::{
         admission,
-        announce::Announcement,
+        announce::{ANNOUNCE_LEASE, Announcement, Beat},
         balance,
         daemon::{
-            event::{Attempt, Effect, Event, Head},
+            event::{Attempt, Effect, Event, Head, Target},
             state::State,
         },
         model::ServerState,
         relays::Role,
         routes::{Location, Snapshot},
     },
+    http::Method,
     std::{sync::Arc, time::Duration},
 };
 
@@ -36,7 +37,7 @@
         };
         let sets = daemon.uplink.directory();
         let snapshot = Snapshot::build(Arc::clone(config), sets.iter(), here);
-        let mut state = State::new(daemon.now);
+        let mut state = State::new(ANNOUNCE_LEASE);
         state.handle(Event::Routed(Arc::new(snapshot)), daemon.now, 7);
         announce(&mut state, &daemon);
         let (entry, calls) = entry(&mut state, &daemon, grants);
@@ -54,7 +55,11 @@
         state: ServerState::Serving,
         incarnation: 1,
     };
-    state.handle(Event::Announced(&announcement), daemon.now, 7);
+    state.handle(
+        Event::Announced(&announcement, Beat::default()),
+        daemon.now,
+        7,
+    );
 }
 
 /// Microseconds at the entry daemon, and a call for the owner daemon.
@@ -69,12 +74,15 @@
         for n in 0..CALLS {
             let (key, service) = &heads[n % heads.len()];
             let head = Head {
-                key,
-                service: service.clone(),
+                target: Target::Service {
+                    key,
+                    service: service.clone(),
+                },
+                path: "/",
                 deadline: now + Duration::from_secs(5),
                 depth: 0,
-                idempotent: true,
-                idempotency_key: None,
+                method: &Method::GET,
+                idempotency_key: Ok(None),
                 streamed: false,
             };
             // An odd multiplier spreads the numbers over the whole range.
@@ -92,6 +100,7 @@
                     choice: &choice,
                     outcome: balance::Outcome::Succeeded,
                     since: now,
+                    load: None,
                 };
                 state.handle(Event::Answered(attempt), now, random);
                 if n == 0 {
@@ -108,6 +117,7 @@
 fn owner(state: &mut State, daemon: &Daemon, call: anvilbeam::call::Call) -> f64 {
     let now = daemon.now + Duration::from_secs(1);
     let call = anvilbeam::call::Call {
+        server: None,
         deadline: now + Duration::from_secs(5),
         ..call
     };
--- a/examples/slopes/memory.rs
+++ b/examples/slopes/memory.rs
@@ -6,6 +6,7 @@
         tree::{Daemon, store},
     },
     anvilbeam::{
+        announce::ANNOUNCE_LEASE,
         daemon::{event::Event as CallEvent, state::State},
         relays::Role,
         routes::{Location, Snapshot},
@@ -58,7 +59,7 @@
         region: "region-0".into(),
     };
     let snapshot = Snapshot::build(Arc::clone(config), daemon.uplink.directory().iter(), here);
-    let mut state = State::new(daemon.now);
+    let mut state = State::new(ANNOUNCE_LEASE);
     state.handle(CallEvent::Routed(Arc::new(snapshot)), daemon.now, 7);
     state
 }
--- a/examples/slopes/tree.rs
+++ b/examples/slopes/tree.rs
@@ -43,8 +43,6 @@
         rank: Rank::Normal,
         path: "/".into(),
         terms: Terms::default(),
-        path: "/".into(),
-        terms: Terms::default(),
     }
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        load::Load,
         model::{Endpoint, Rank, ServerName, ServiceName},
         routes::{Distance, Snapshot},
     },
@@ -251,6 +252,13 @@
         health::Peers::new(others.filter_map(|server| self.servers.get(server)))
     }
 
+    /// Takes the load that the daemon beside a server reported with an answer.
+    pub fn report(&mut self, endpoint: &Endpoint, load: &Load, now: Instant) {
+        if let Some(health) = self.servers.get_mut(&endpoint.server) {
+            health.report(endpoint.incarnation, load, now);
+        }
+    }
+
     /// Takes a server's report of its own load, from 0 to 1, as a hint for 3 s.
     pub fn hint_load(&mut self, server: &ServerName, load: f64, now: Instant) {
         if let Some(health) = self.servers.get_mut(server) {
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -2,7 +2,10 @@
 
 use {
     super::pick::Tier,
-    crate::model::{Endpoint, Rank},
+    crate::{
+        load::Load,
+        model::{Endpoint, Rank},
+    },
     std::time::{Duration, Instant},
     strum::EnumCount,
 };
@@ -48,6 +51,13 @@
 const HINT_FACTOR: f64 = 0.5;
 /// Limit of a retry-after hint, which comes from another process.
 const MAX_REFUSAL: Duration = Duration::from_secs(2);
+/// Time for which a reported load says something: some calls.
+const LOAD_LIFE: Duration = Duration::from_secs(1);
+/// Share of the slots up to which a server answers as fast as an idle one.
+const BUSY_SHARE: f64 = 0.7;
+/// Growth of the time until the answer when the load exceeds that share by all slots. A full
+/// server with a queue as long as its slots answers after about two service times.
+const BUSY_COST: f64 = 1.0;
 
 /// State of one backend server.
 #[derive(Debug)]
@@ -68,6 +78,10 @@
     readmitted: Instant,
     probes: u32,
     hint: Option<(f64, Instant)>,
+    /// Calls that ran or waited at the server, and when it was reported.
+    load: Option<(f64, Instant)>,
+    /// Smoothed time of a call at the server, without waiting, in seconds.
+    service_time: Option<f64>,
 }
 
 impl Health {
@@ -87,6 +101,8 @@
             readmitted: now,
             probes: 0,
             hint: None,
+            load: None,
+            service_time: None,
         }
     }
 
@@ -256,6 +272,35 @@
         self.outstanding
     }
 
+    pub(super) fn report(&mut self, incarnation: u64, load: &Load, now: Instant) {
+        if self.incarnation != incarnation {
+            return;
+        }
+        self.load = Some((f64::from(load.running + load.waiting), now));
+        if let Some(took) = load.took {
+            let sample = took.as_secs_f64();
+            let known = self.service_time.unwrap_or(sample);
+            let sample = sample.min(known * MAX_SAMPLE_FACTOR);
+            self.service_time = Some(known + (sample - known) * LATENCY_WEIGHT);
+        }
+    }
+
+    /// Time of a call at the server without waiting, in seconds, if it has reported.
+    pub(super) const fn service_time(&self) -> Option<f64> {
+        self.service_time
+    }
+
+    /// Expected time until the answer of one more call, in seconds, with `service_time` for a
+    /// server that has not reported one. A report that is not recent counts as half the slots.
+    pub(super) fn completion(&self, service_time: f64, now: Instant) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let recent = self.load.filter(|(_, at)| now < *at + LOAD_LIFE);
+        let reported = recent.map_or(slots / 2.0, |(load, _)| load);
+        let load = reported.max(f64::from(self.outstanding)) + 1.0;
+        let busy = (load / slots - BUSY_SHARE).max(0.0);
+        self.service_time.unwrap_or(service_time) * (1.0 + busy * BUSY_COST)
+    }
+
     pub(super) fn hint(&mut self, load: f64, now: Instant) {
         if load.is_finite() {
             self.hint = Some((load.clamp(0.0, 1.0), now + HINT_LIFE));
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -38,6 +38,10 @@
     Ejected,
 }
 
+/// Part of the own data centre's expected time that another group must undercut: bytes between
+/// data centres and regions are billed, and estimates are noisy.
+const RELIEF_SHARE: f64 = 0.75;
+
 const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
 
 /// What a pick is made for.
@@ -48,6 +52,22 @@
     exclude: &'a [ServerName],
 }
 
+/// Expected answer of the best server of a group, in seconds.
+struct Best {
+    completion: f64,
+    service_time: f64,
+}
+
+/// Time of the way to a group and back beyond that inside the data centre, in seconds: twice the
+/// delays of the planned network, 1 ms between data centres and 12 ms between regions.
+const fn travel(distance: Distance) -> f64 {
+    match distance {
+        Distance::OwnDataCentre => 0.0,
+        Distance::OwnRegion => 0.002,
+        Distance::OtherRegion => 0.025,
+    }
+}
+
 impl Balancer {
     /// Chooses a backend server for a call on `route` and counts the call as outstanding.
     ///
@@ -79,6 +99,12 @@
             exclude,
         };
         let mut draws = Draws(random);
+        if let Some(distance) = self.relief(&call) {
+            let relief = self.pick_at(&call, Tier::Usable, distance, &mut draws);
+            if relief.is_some() {
+                return relief;
+            }
+        }
         if self.leaves_data_centre(&call, &mut draws) {
             let region = self.pick_at(&call, Tier::Usable, Distance::OwnRegion, &mut draws);
             if region.is_some() {
@@ -100,6 +126,44 @@
     /// Whether a call tries the other data centres of the region first: a small share always does,
     /// and more while the servers of the own data centre are cold, or slow start would not hold
     /// where a server is alone in its data centre.
+    /// The group whose best server is expected to answer much earlier than the best one of the own
+    /// data centre, by the loads that owner daemons reported.
+    fn relief(&self, call: &Call<'_>) -> Option<Distance> {
+        let own = self.best_completion(call, Distance::OwnDataCentre, None)?;
+        let others = [Distance::OwnRegion, Distance::OtherRegion];
+        let others = others.into_iter().filter_map(|distance| {
+            let best = self.best_completion(call, distance, Some(own.service_time))?;
+            Some((distance, best.completion + travel(distance)))
+        });
+        let (distance, best) = others.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        (best < own.completion * RELIEF_SHARE).then_some(distance)
+    }
+
+    /// The earliest expected answer among the usable servers of a group; `None` when there is
+    /// nothing to compare.
+    fn best_completion(
+        &self,
+        call: &Call<'_>,
+        distance: Distance,
+        service_time: Option<f64>,
+    ) -> Option<Best> {
+        let group = call.candidates.group(distance).iter();
+        let usable = group.filter_map(|endpoint| {
+            let health = self.servers.get(&endpoint.server)?;
+            let usable = health.tier(call.rank, call.now) == Tier::Usable;
+            let excluded = call.exclude.contains(&endpoint.server);
+            (usable && !excluded).then_some(health)
+        });
+        let best = usable.filter_map(|health| {
+            let service_time = health.service_time().or(service_time)?;
+            Some(Best {
+                completion: health.completion(service_time, call.now),
+                service_time,
+            })
+        });
+        best.min_by(|a, b| a.completion.total_cmp(&b.completion))
+    }
+
     fn leaves_data_centre(&self, call: &Call<'_>, draws: &mut Draws) -> bool {
         let known = |distance| {
             let group = call.candidates.group(distance).iter();
--- a/src/call.rs
+++ b/src/call.rs
@@ -36,7 +36,8 @@
 pub const WORK: HeaderName = HeaderName::from_static("anvilbeam-work");
 /// Header with the backend server that was chosen, between daemons.
 pub const SERVER: HeaderName = HeaderName::from_static("anvilbeam-server");
-/// Header with the load of the backend server, from an owner daemon.
+/// Header with the running and waiting calls and the slots of the backend server, from an owner
+/// daemon.
 pub const LOAD: HeaderName = HeaderName::from_static("anvilbeam-load");
 /// Header with the version in force at the daemon that sends a call.
 pub const VERSION: HeaderName = HeaderName::from_static("anvilbeam-version");
--- a/src/control.rs
+++ b/src/control.rs
@@ -258,6 +258,7 @@
 fn replica_options(cfg: &settings::Control, address: SocketAddr) -> Options {
     let mut options = Options::new(&cfg.name, address, cfg.data_folder.clone());
     options.wal.segment_bytes = cfg.segment_size;
+    options.raft = cfg.raft();
     options
 }
 
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -14,6 +14,7 @@
         call::{self, Call},
         dialect::Callers,
         events::Event as LogEvent,
+        load::Load,
         log_event,
         metrics::Outcome as CallOutcome,
         model::{ServerName, Version},
@@ -57,6 +58,7 @@
             choice,
             outcome: balance::Outcome::Neutral,
             since: self.since,
+            load: None,
         };
         self.shared.dispatch(None, Event::Answered(attempt));
     }
@@ -77,6 +79,7 @@
                 choice: &choice,
                 outcome: balance::Outcome::Neutral,
                 since: self.since,
+                load: None,
             };
             self.shared.dispatch(None, Event::Answered(attempt));
         }
@@ -173,6 +176,7 @@
 
     /// Records the time that was spent outside of the backend server.
     fn record_added(&self, call: &Call, response: &mut Response<Body>, arrived: Instant) {
+        response.headers_mut().remove(call::LOAD);
         let took = response.headers_mut().remove(call::SERVER_US);
         let took = took.and_then(|value| value.to_str().ok()?.parse().ok());
         if call.streamed {
@@ -195,6 +199,7 @@
                 (false, false) => balance::Outcome::Succeeded,
             },
             since,
+            load: Load::read(response.headers()),
         };
         self.shared.dispatch(None, Event::Answered(attempt));
         let outcome = if failed {
@@ -228,6 +233,7 @@
                 choice,
                 outcome: failed.outcome,
                 since,
+                load: Load::read(failed.response.headers()),
             },
             failure: Failure {
                 cause: failed.cause,
@@ -243,6 +249,8 @@
             mut response,
             ..
         } = failed;
+        response.headers_mut().remove(call::LOAD);
+        response.headers_mut().remove(call::SERVER_US);
         let now = Instant::now();
         let refusal = Refusal::read(response.headers(), now);
         let reason = match effect {
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -6,6 +6,7 @@
         announce::{Announcement, Beat},
         balance::{self, Change, Choice},
         call::Call,
+        load::Load,
         model::{Endpoint, ServiceName},
         refusal::Refusal,
         retry::{self, Failure, GiveUp},
@@ -62,6 +63,8 @@
     pub outcome: balance::Outcome,
     /// When it began.
     pub since: Instant,
+    /// Load that the owner daemon reported, if it answered.
+    pub load: Option<Load>,
 }
 
 /// What happened.
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -14,7 +14,9 @@
         call::{self, Call},
         dialect::Dialect,
         events::Event as LogEvent,
+        load::Load,
         log_event,
+        model::Rank,
         refusal::{Reason, Refusal},
         suspects::{self, Ending as RunEnding, Fingerprint, Identity, RunId},
     },
@@ -25,6 +27,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    strum::IntoEnumIterator as _,
     tokio::time::timeout_at,
 };
 
@@ -52,7 +55,7 @@
     } else {
         order::run(Arc::clone(&shared), call, req).await
     };
-    answered.unwrap_or_else(|refusal| {
+    let mut response = answered.unwrap_or_else(|refusal| {
         log_event!(
             LogEvent::AdmissionRefused,
             reason = refusal.reason,
@@ -60,7 +63,21 @@
             detail = refusal.detail,
         );
         refusal.response(Instant::now())
-    })
+    });
+    load_of(&shared).write(response.headers_mut());
+    response
+}
+
+fn load_of(shared: &Shared) -> Load {
+    let state = shared.state();
+    let admission = state.admission();
+    let waiting: usize = Rank::iter().map(|rank| admission.waiting_of(rank)).sum();
+    Load {
+        running: admission.running(),
+        waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+        slots: admission.limit(Instant::now()),
+        took: None,
+    }
 }
 
 async fn run_unclaimed(
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -316,6 +316,10 @@
 
     fn record(&mut self, attempt: &Attempt<'_>, now: Instant) -> Vec<Effect> {
         let latency = now.saturating_duration_since(attempt.since);
+        if let Some(load) = &attempt.load {
+            let endpoint = &attempt.choice.endpoint;
+            self.balancer.report(endpoint, load, now);
+        }
         let change = self
             .balancer
             .outcome(attempt.choice, attempt.outcome, latency, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod http_client;
 pub mod limits;
 pub mod lists;
+pub mod load;
 pub mod logging;
 pub mod metrics;
 pub mod model;
--- a/src/relays/table.rs
+++ b/src/relays/table.rs
@@ -111,7 +111,9 @@
         {
             return refused(wait.as_millis());
         }
-        let known = self.data_centres.contains_key(&member.data_centre);
+        // Nobody else could relay for a daemon that is alone in its part of the tree.
+        let alone = member.data_centre.as_str() == member.daemon.as_str();
+        let known = alone || self.data_centres.contains_key(&member.data_centre);
         if !known && attach.held == Role::Leaf && now < self.settled {
             return refused(self.settled.duration_since(now).as_millis() + 1);
         }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -5,12 +5,14 @@
     crate::{
         error::Result,
         model::{DataCentre, Digest, Region},
+        raft,
     },
     serde::{Deserialize, Serialize},
     serde_with::serde_as,
     std::{
         net::SocketAddr,
         path::{Path, PathBuf},
+        time::Duration,
     },
     strum::Display,
 };
@@ -21,6 +23,12 @@
 /// Smallest segment; one record of the largest size must fit.
 const MIN_SEGMENT: u64 = 4 * 1024 * 1024;
 
+/// Shortest election timeout: some heartbeats must fit into it, and a round trip between regions
+/// into each.
+const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Heartbeats of the leader in one election timeout; one may be lost and one late.
+const HEARTBEATS: u32 = 5;
+
 /// Largest segment; a restart reads whole segments.
 const MAX_SEGMENT: u64 = 1024 * 1024 * 1024;
 
@@ -87,6 +95,10 @@
     /// enough voters for that.
     #[serde(default)]
     pub tolerated_losses: usize,
+    /// Silence of the leader after which the others elect a new one.
+    #[serde_as(as = "Human")]
+    #[serde(default = "default_election_timeout")]
+    pub election_timeout: Duration,
     /// What operators speak.
     #[serde(default)]
     pub interface: Interface,
@@ -109,6 +121,10 @@
     pub log: Log,
 }
 
+fn default_election_timeout() -> Duration {
+    raft::Config::default().election_timeout
+}
+
 const fn default_segment() -> u64 {
     DEFAULT_SEGMENT
 }
@@ -142,7 +158,16 @@
         super::parse(path, text, Self::finish)
     }
 
-    /// The mesh token; empty before [`Self::load`] has read it.
+    /// Times of the replicated log.
+    pub fn raft(&self) -> raft::Config {
+        raft::Config {
+            election_timeout: self.election_timeout,
+            heartbeat: self.election_timeout / HEARTBEATS,
+            ..raft::Config::default()
+        }
+    }
+
+    /// Token that proves that a process belongs to the mesh; empty before the check.
     pub fn token(&self) -> &str {
         self.mesh_token.as_ref().map_or("", Secret::reveal)
     }
@@ -179,6 +204,10 @@
             let reason = format!("{} bytes are not between 4MiB and 1GiB", self.segment_size);
             return Err(Wrong::new("segment_size", reason));
         }
+        if self.election_timeout < MIN_ELECTION_TIMEOUT {
+            let reason = format!("is shorter than {} ms", MIN_ELECTION_TIMEOUT.as_millis());
+            return Err(Wrong::new("election_timeout", reason));
+        }
         match self.group {
             Group::Config => self.check_config()?,
             Group::Claims => self.check_claims()?,
