Ask all control replicas quickly, and outlive a full disk

Cause: a daemon whose parent went away waited up to seconds between two questions to control, and took an answer from a leader that could not confirm that it leads.

Change: a daemon that asks control directly asks all replicas before its waits grow, and takes confirmed answers only. A replica whose disk refuses writes starts again in its process. Shutdowns end half a second before the grace period does.

--- a/examples/distribution_cost/main.rs
+++ b/examples/distribution_cost/main.rs
@@ -75,8 +75,6 @@
         rank: Rank::Normal,
         path: "/".into(),
         terms: Terms::default(),
-        path: "/".into(),
-        terms: Terms::default(),
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -47,7 +47,7 @@
 };
 
 /// Time that a shutdown gives to requests in flight.
-const SHUTDOWN_TIME: Duration = Duration::from_secs(10);
+const SHUTDOWN_TIME: Duration = Duration::from_secs(2);
 
 /// Sockets of a control process, bound before it starts.
 #[derive(Debug)]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -52,7 +52,7 @@
 const SHUTDOWN_TIME: Duration = Duration::from_mins(10);
 
 /// Time before the end of the grace period by which the process has ended.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Sockets of a daemon, bound before it starts.
 #[derive(Debug)]
--- a/src/program.rs
+++ b/src/program.rs
@@ -23,6 +23,8 @@
     },
 };
 
+/// Wait before a replica whose disk failed starts again in the same process.
+const DISK_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which a daemon looks for changed settings, which come without a signal at times.
 const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Interval at which a control process looks whether its replica has stopped.
@@ -187,6 +189,28 @@
 
 async fn run_control(cfg: settings::Control, bootstrap: bool) -> Result<()> {
     let mut signals = Signals::new()?;
+    loop {
+        let run = run_replica(cfg.clone(), bootstrap, &mut signals);
+        match run.await {
+            // A full disk may get room again, and all that was acknowledged is synced.
+            Err(e @ Error::File { .. }) if cfg.restarts => {
+                log_failure(&e);
+                tokio::select! {
+                    () = signals.stop() => return Ok(()),
+                    () = sleep(DISK_PAUSE) => {}
+                }
+            }
+            done => return done,
+        }
+    }
+}
+
+/// Runs a replica until a signal or until its thread ends.
+async fn run_replica(
+    cfg: settings::Control,
+    bootstrap: bool,
+    signals: &mut Signals,
+) -> Result<()> {
     let listeners = control::Listeners::bind(&cfg).await?;
     let control = Control::start(cfg, listeners, bootstrap).await?;
     loop {
--- a/src/relays/uplink/asking.rs
+++ b/src/relays/uplink/asking.rs
@@ -19,6 +19,9 @@
 /// answers some hundred of them within it.
 const DIRECT_WAIT: Duration = Duration::from_millis(250);
 
+/// Bound of the wait before such a daemon asks the next control replica.
+const DIRECT_RETRY_WAIT: Duration = Duration::from_millis(100);
+
 /// Time for which a newer version must be seen elsewhere before the parent counts as stale: an
 /// edit takes less on its way through the tree.
 const STALE: Duration = Duration::from_secs(2);
@@ -132,13 +135,14 @@
         self.asking.failures = self.asking.failures.saturating_add(1);
         self.asking.control = (self.asking.control + 1) % self.controls;
         self.asking.redirects = 0;
-        let longest = if self.direct {
-            FIRST_WAIT
+        let bound = if self.direct {
+            // The leader is one of few, so all of them are asked before the waits grow.
+            let rounds = self.asking.failures / self.controls;
+            (DIRECT_RETRY_WAIT * 2_u32.pow(rounds.min(4))).min(FIRST_WAIT)
         } else {
-            LONGEST_WAIT
+            (RETRY_WAIT * 2_u32.pow(self.asking.failures.min(4))).min(LONGEST_WAIT)
         };
-        let bound = RETRY_WAIT * 2_u32.pow(self.asking.failures.min(4));
-        let at = self.jitter(now, bound.min(longest));
+        let at = self.jitter(now, bound);
         self.asking.state = State::At(at);
     }
 
@@ -154,7 +158,9 @@
         }
         match reply {
             // A leader of an older term is isolated and doesn't know it yet.
-            Some(AttachReply::Attached(attached)) if attached.term >= self.term => {
+            Some(AttachReply::Attached(attached))
+                if attached.term >= self.term && (attached.floor.is_some() || !self.direct) =>
+            {
                 self.attached(now, control, &attached, out);
             }
             Some(AttachReply::Refused { retry_after_ms }) => {
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -99,6 +99,9 @@
     #[serde_as(as = "Human")]
     #[serde(default = "default_election_timeout")]
     pub election_timeout: Duration,
+    /// Whether a replica whose disk refuses writes starts again instead of ending the process.
+    #[serde(default)]
+    pub restarts: bool,
     /// What operators speak.
     #[serde(default)]
     pub interface: Interface,
