Send late repeatable calls to a second backend server

Change: a repeatable call without an answer in half of its wanted latency is sent to another server, within half of the retry budget. A server with three calls or more and no answer for three usual latencies counts as full.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -252,6 +252,13 @@
         health::Peers::new(others.filter_map(|server| self.servers.get(server)))
     }
 
+    /// Latency of the quicker servers of a service, as seen here.
+    pub fn usual_latency(&self, service: &ServiceName) -> Option<Duration> {
+        let members = self.members.get(service).into_iter().flatten();
+        let members = members.filter_map(|server| self.servers.get(server));
+        health::Peers::new(members).latency()
+    }
+
     /// Takes the load that the daemon beside a server reported with an answer.
     pub fn report(&mut self, endpoint: &Endpoint, load: &Load, now: Instant) {
         if let Some(health) = self.servers.get_mut(&endpoint.server) {
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -51,6 +51,12 @@
 const HINT_FACTOR: f64 = 0.5;
 /// Limit of a retry-after hint, which comes from another process.
 const MAX_REFUSAL: Duration = Duration::from_secs(2);
+/// Calls without an answer that make silence suspicious; one may just take long.
+const QUIET_CALLS: u32 = 3;
+/// Shortest silence that is suspicious.
+const MIN_QUIET: Duration = Duration::from_millis(300);
+/// Multiple of the usual latency that the silence must exceed.
+const QUIET_FACTOR: f64 = 3.0;
 /// Time for which a reported load says something: some calls.
 const LOAD_LIFE: Duration = Duration::from_secs(1);
 /// Share of the slots up to which a server answers as fast as an idle one.
@@ -81,7 +87,9 @@
     /// Calls that ran or waited at the server, and when it was reported.
     load: Option<(f64, Instant)>,
     /// Smoothed time of a call at the server, without waiting, in seconds.
-    service_time: Option<f64>,
+    service_time: Option<(f64, Instant)>,
+    /// When it last answered, or was sent a call while it had none.
+    active: Instant,
 }
 
 impl Health {
@@ -103,6 +111,7 @@
             hint: None,
             load: None,
             service_time: None,
+            active: now,
         }
     }
 
@@ -118,10 +127,21 @@
         self.slots = endpoint.slots;
     }
 
-    pub(super) fn started(&mut self) {
+    pub(super) fn started(&mut self, now: Instant) {
+        if self.outstanding == 0 {
+            self.active = now;
+        }
         self.outstanding += 1;
     }
 
+    /// Whether several calls wait for a server that has answered none of them for long. Its VM
+    /// may be gone, which connections show only after seconds.
+    fn is_quiet(&self, now: Instant) -> bool {
+        let usual = self.latency().unwrap_or(0.0) * QUIET_FACTOR;
+        let silence = now.saturating_duration_since(self.active);
+        self.outstanding >= QUIET_CALLS && silence > MIN_QUIET.max(Duration::from_secs_f64(usual))
+    }
+
     /// Counts a call as ended; false if it ran on another incarnation.
     pub(super) fn finished(&mut self, incarnation: u64) -> bool {
         if self.incarnation != incarnation {
@@ -167,7 +187,7 @@
             Tier::Ejected
         } else if self.refusing_until[rank.index()].is_some_and(|until| until > now) {
             Tier::Refusing
-        } else if self.outstanding >= self.slots.max(1) {
+        } else if self.outstanding >= self.slots.max(1) || self.is_quiet(now) {
             Tier::Full
         } else {
             Tier::Usable
@@ -276,18 +296,21 @@
         if self.incarnation != incarnation {
             return;
         }
+        self.active = now;
         self.load = Some((f64::from(load.running + load.waiting), now));
         if let Some(took) = load.took {
             let sample = took.as_secs_f64();
-            let known = self.service_time.unwrap_or(sample);
+            let known = self.service_time(now).unwrap_or(sample);
             let sample = sample.min(known * MAX_SAMPLE_FACTOR);
-            self.service_time = Some(known + (sample - known) * LATENCY_WEIGHT);
+            self.service_time = Some((known + (sample - known) * LATENCY_WEIGHT, now));
         }
     }
 
     /// Time of a call at the server without waiting, in seconds, if it has reported.
-    pub(super) const fn service_time(&self) -> Option<f64> {
-        self.service_time
+    /// An estimate that is not renewed shrinks, so that a server that was slow is tried again.
+    pub(super) fn service_time(&self, now: Instant) -> Option<f64> {
+        let (time, at) = self.service_time?;
+        Some(time.max(MIN_LATENCY) * halving(at, now))
     }
 
     /// Expected time until the answer of one more call, in seconds, with `service_time` for a
@@ -298,7 +321,7 @@
         let reported = recent.map_or(slots / 2.0, |(load, _)| load);
         let load = reported.max(f64::from(self.outstanding)) + 1.0;
         let busy = (load / slots - BUSY_SHARE).max(0.0);
-        self.service_time.unwrap_or(service_time) * (1.0 + busy * BUSY_COST)
+        self.service_time(now).unwrap_or(service_time) * (1.0 + busy * BUSY_COST)
     }
 
     pub(super) fn hint(&mut self, load: f64, now: Instant) {
@@ -339,6 +362,11 @@
 }
 
 impl Peers {
+    /// Latency of the quicker ones.
+    pub(super) fn latency(&self) -> Option<Duration> {
+        self.latency.map(Duration::from_secs_f64)
+    }
+
     /// Whether a server with `latency` in seconds is slower than its peers by far.
     pub(super) fn are_faster_than(&self, latency: Option<f64>) -> bool {
         let (Some(latency), Some(peers)) = (latency, self.latency) else {
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -38,9 +38,15 @@
     Ejected,
 }
 
-/// Part of the own data centre's expected time that another group must undercut: bytes between
-/// data centres and regions are billed, and estimates are noisy.
-const RELIEF_SHARE: f64 = 0.75;
+/// Part of the own data centre's expected time that a server of the own region must undercut:
+/// bytes between data centres are billed, and estimates are noisy.
+const REGION_RELIEF_SHARE: f64 = 0.75;
+/// Part that a server of another region must undercut; bytes between regions cost four times as
+/// much.
+const FAR_RELIEF_SHARE: f64 = 0.5;
+/// Share of the calls that stay in the own data centre all the same, to notice when it is better
+/// again.
+const RETURN_SHARE: f64 = 0.03;
 
 const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
 
@@ -68,6 +74,14 @@
     }
 }
 
+const fn relief_share(distance: Distance) -> f64 {
+    match distance {
+        Distance::OwnDataCentre => 1.0,
+        Distance::OwnRegion => REGION_RELIEF_SHARE,
+        Distance::OtherRegion => FAR_RELIEF_SHARE,
+    }
+}
+
 impl Balancer {
     /// Chooses a backend server for a call on `route` and counts the call as outstanding.
     ///
@@ -99,7 +113,9 @@
             exclude,
         };
         let mut draws = Draws(random);
-        if let Some(distance) = self.relief(&call) {
+        if let Some(distance) = self.relief(&call)
+            && draws.unit() >= RETURN_SHARE
+        {
             let relief = self.pick_at(&call, Tier::Usable, distance, &mut draws);
             if relief.is_some() {
                 return relief;
@@ -133,10 +149,12 @@
         let others = [Distance::OwnRegion, Distance::OtherRegion];
         let others = others.into_iter().filter_map(|distance| {
             let best = self.best_completion(call, distance, Some(own.service_time))?;
-            Some((distance, best.completion + travel(distance)))
+            let answer = best.completion + travel(distance);
+            let worth = answer < own.completion * relief_share(distance);
+            worth.then_some((distance, answer))
         });
-        let (distance, best) = others.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        (best < own.completion * RELIEF_SHARE).then_some(distance)
+        let (distance, _) = others.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some(distance)
     }
 
     /// The earliest expected answer among the usable servers of a group; `None` when there is
@@ -155,7 +173,7 @@
             (usable && !excluded).then_some(health)
         });
         let best = usable.filter_map(|health| {
-            let service_time = health.service_time().or(service_time)?;
+            let service_time = health.service_time(call.now).or(service_time)?;
             Some(Best {
                 completion: health.completion(service_time, call.now),
                 service_time,
@@ -197,7 +215,7 @@
         self.gather(group, tier, call);
         let (at, probe) = self.choose(tier, draws)?;
         let endpoint = Arc::clone(&group[at]);
-        self.servers[&endpoint.server].started();
+        self.servers[&endpoint.server].started(call.now);
         Some(Choice {
             endpoint,
             distance,
--- a/src/call.rs
+++ b/src/call.rs
@@ -115,6 +115,8 @@
     pub work: Option<Work>,
     /// Backend servers to which it may be sent.
     pub attempts: u32,
+    /// Time within which an answer is wanted, in milliseconds; only the entry daemon knows it.
+    pub target_ms: Option<u64>,
     /// The backend server that was chosen; the owner daemon refuses the call for any other.
     pub server: Option<ServerName>,
     /// Whether a second run does no harm.
@@ -295,6 +297,7 @@
             path: optional(headers, &GRANT_PATH)?.map_or_else(PathPrefix::default, Into::into),
             // Only the entry daemon sends a call again.
             attempts: 1,
+            target_ms: None,
             server: optional(headers, &SERVER)?.map(Into::into),
             idempotent: is_repeatable(work, &parts.method),
             idempotency_key: match work {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod entry;
 pub mod event;
+mod hedge;
 pub(crate) mod local;
 mod order;
 mod owner;
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -5,6 +5,7 @@
         cause::{balance_outcome, cause_of},
         entry::{Replay, outcome_of},
         event::{Attempt, CallId, Effect, Event},
+        hedge::Leg,
         owner,
         shared::Shared,
     },
@@ -97,7 +98,7 @@
 }
 
 /// A failed attempt.
-struct Failed {
+pub(super) struct Failed {
     /// What decides on another attempt.
     cause: Cause,
     /// What it tells about the backend server.
@@ -107,14 +108,14 @@
 }
 
 /// Result of one attempt.
-enum Sent {
+pub(super) enum Sent {
     /// An answer for the caller.
     Answer(Response<Body>),
     /// A failure.
     Failure(Box<Failed>),
 }
 
-impl Forwarding<'_> {
+impl<'a> Forwarding<'a> {
     pub(super) async fn run(
         mut self,
         mut call: Box<Call>,
@@ -134,8 +135,19 @@
                 attempt = self.tried.len() + 1,
             );
             self.tried.push(choice.endpoint.server.clone());
-            let mut pending = Pending::new(self.shared, choice.clone());
-            let sent = self.send(&call, &choice).await;
+            let pending = Pending::new(self.shared, choice.clone());
+            let leg = Leg {
+                call,
+                choice,
+                pending,
+            };
+            let (leg, sent) = self.race(leg).await;
+            let mut pending;
+            Leg {
+                call,
+                choice,
+                pending,
+            } = leg;
             pending.end();
             let failed = match sent {
                 Sent::Answer(mut response) => {
@@ -281,8 +293,7 @@
         response
     }
 
-    async fn send(&mut self, call: &Call, choice: &Choice) -> Sent {
-        let req = self.request(call);
+    pub(super) async fn send(&self, req: Request<Body>, call: &Call, choice: &Choice) -> Sent {
         let response = if choice.endpoint.daemon == self.shared.cfg.name {
             owner::run(Arc::clone(self.shared), call.clone(), req).await
         } else {
@@ -302,7 +313,13 @@
         }
     }
 
-    fn request(&mut self, call: &Call) -> Request<Body> {
+    /// Number of sends so far.
+    pub(super) fn attempts(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The request for one send; `repeated` tells whether there was one before.
+    pub(super) fn request(&self, repeated: bool, call: &Call) -> Request<Body> {
         let mut req = Request::new(self.replay.next());
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
@@ -320,7 +337,7 @@
         {
             req.headers_mut().insert(name, value);
         }
-        let retried = self.tried.len() > 1 || self.parts.headers.contains_key(RETRIED_HEADER);
+        let retried = repeated || self.parts.headers.contains_key(RETRIED_HEADER);
         if retried {
             req.headers_mut()
                 .insert(RETRIED_HEADER, HeaderValue::from_static("1"));
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -23,7 +23,7 @@
     http::{Request, Response, request::Parts},
     hyper::body::{Body as _, Incoming},
     std::{
-        sync::Arc,
+        sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -34,13 +34,14 @@
 /// Body of a request, as far as it can be sent again.
 pub(super) enum Replay {
     Whole(Bytes),
-    Stream(Option<Body>),
+    /// Taken by the first send. The lock lets several sends share the request.
+    Stream(Mutex<Option<Body>>),
 }
 
 impl Replay {
     async fn read(parts: &Parts, incoming: Incoming, limit: u64) -> Result<Self, Refusal> {
         if !is_small(&incoming, limit) {
-            return Ok(Self::Stream(Some(body::boxed(incoming))));
+            return Ok(Self::Stream(Mutex::new(Some(body::boxed(incoming)))));
         }
         let watched = body::boxed(Watched::new(body::boxed(incoming), Progress::new(), |_| ()));
         let bytes = body::collect(watched, limit as usize).await.map_err(|e| {
@@ -49,13 +50,21 @@
         Ok(Self::Whole(bytes))
     }
 
-    pub(super) fn next(&mut self) -> Body {
+    /// The body; one that is passed on as it comes can be had once.
+    pub(super) fn next(&self) -> Body {
         match self {
             Self::Whole(bytes) => body::full(bytes.clone()),
-            Self::Stream(stream) => stream.take().unwrap_or_else(body::empty),
+            Self::Stream(stream) => {
+                let mut stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+                stream.take().unwrap_or_else(body::empty)
+            }
         }
     }
 
+    pub(super) const fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
     pub(super) const fn kind(&self) -> retry::Body {
         match self {
             Self::Whole(_) => retry::Body::Replayable,
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -7,7 +7,7 @@
         balance::{self, Change, Choice},
         call::Call,
         load::Load,
-        model::{Endpoint, ServiceName},
+        model::{Endpoint, ServerName, ServiceName},
         refusal::Refusal,
         retry::{self, Failure, GiveUp},
         routes::Snapshot,
@@ -92,6 +92,15 @@
         /// How it failed.
         failure: Failure,
     },
+    /// The answer to a call that may run twice is late.
+    Late {
+        /// The call.
+        id: CallId,
+        /// What is known of the call.
+        call: &'a Call,
+        /// Servers to which it was sent.
+        tried: &'a [ServerName],
+    },
     /// An entry daemon asks for a slot.
     SlotWanted {
         /// The call.
--- /dev/null
+++ b/src/daemon/hedge.rs
@@ -0,0 +1,129 @@
+//! Second sends of calls whose answer is late.
+//!
+//! A call that may run twice and has a wanted latency is sent to another backend server when half
+//! of that time has passed without an answer. The first answer wins; the other send is cancelled.
+
+use {
+    super::{
+        attempt::{Forwarding, Pending, Sent},
+        event::{Effect, Event},
+    },
+    crate::{balance::Choice, call::Call, events::Event as LogEvent, log_event},
+    std::{
+        pin::pin,
+        time::{Duration, Instant},
+    },
+    tokio::{select, time::timeout_at},
+};
+
+/// Part of the wanted latency after which a call is sent again: the second answer needs the rest.
+const HEDGE_SHARE: f64 = 0.5;
+/// Multiple of the usual latency of the service that a call is given before it counts as late.
+const USUAL_FACTOR: f64 = 1.5;
+
+/// One send of a call.
+pub(super) struct Leg<'a> {
+    pub(super) call: Box<Call>,
+    pub(super) choice: Choice,
+    pub(super) pending: Pending<'a>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Winner {
+    First,
+    Second,
+}
+
+impl<'a> Forwarding<'a> {
+    /// Sends one leg, and another one if the answer is late; returns the leg that decides.
+    pub(super) async fn race(&mut self, first: Leg<'a>) -> (Leg<'a>, Sent) {
+        let req = self.request(self.tried.len() > 1, &first.call);
+        let Some(late) = self.late_at(&first.call) else {
+            let sent = self.send(req, &first.call, &first.choice).await;
+            return (first, sent);
+        };
+        let this = &*self;
+        let (second, winner, sent) = {
+            let mut sending = pin!(this.send(req, &first.call, &first.choice));
+            match timeout_at(late.into(), &mut sending).await {
+                Ok(sent) => (None, Winner::First, sent),
+                Err(_late) => match this.second_leg(&first) {
+                    None => (None, Winner::First, sending.await),
+                    Some(second) => {
+                        let (winner, sent) = this.decide(sending, &second).await;
+                        (Some(second), winner, sent)
+                    }
+                },
+            }
+        };
+        let Some(second) = second else {
+            return (first, sent);
+        };
+        self.tried.push(second.choice.endpoint.server.clone());
+        let (mut loser, winner) = match winner {
+            Winner::First => (second, first),
+            Winner::Second => (first, second),
+        };
+        if let Some(choice) = loser.pending.end() {
+            loser.pending.release(&choice);
+        }
+        (winner, sent)
+    }
+
+    /// Waits for the answer of either leg; a failure decides only when both failed.
+    async fn decide(
+        &self,
+        mut first: std::pin::Pin<&mut impl Future<Output = Sent>>,
+        second: &Leg<'a>,
+    ) -> (Winner, Sent) {
+        let req = self.request(true, &second.call);
+        let mut other = pin!(self.send(req, &second.call, &second.choice));
+        select! {
+            sent = &mut first => match sent {
+                Sent::Answer(_) => (Winner::First, sent),
+                Sent::Failure(_) => (Winner::Second, other.await),
+            },
+            sent = &mut other => match sent {
+                Sent::Answer(_) => (Winner::Second, sent),
+                Sent::Failure(_) => (Winner::First, first.await),
+            },
+        }
+    }
+
+    /// When a call counts as late, if it may be sent to a second server.
+    fn late_at(&self, call: &Call) -> Option<Instant> {
+        let target = Duration::from_millis(call.target_ms?);
+        if !call.idempotent || !self.replay.is_whole() || call.attempts <= self.attempts() {
+            return None;
+        }
+        let usual = self.shared.state().balancer().usual_latency(&call.service);
+        let usual = usual.unwrap_or_default().mul_f64(USUAL_FACTOR);
+        Some(Instant::now() + target.mul_f64(HEDGE_SHARE).max(usual))
+    }
+
+    fn second_leg(&self, first: &Leg<'a>) -> Option<Leg<'a>> {
+        let event = Event::Late {
+            id: self.id,
+            call: &first.call,
+            tried: &self.tried,
+        };
+        let Some(Effect::Forward { call, choice, .. }) = self.shared.dispatch(Some(self.id), event)
+        else {
+            return None;
+        };
+        log_event!(
+            LogEvent::CallRetried,
+            call = self.id,
+            plan = call.plan,
+            service = call.service,
+            cause = "late",
+            server = choice.endpoint.server,
+        );
+        self.shared.metrics.retry();
+        Some(Leg {
+            pending: Pending::new(self.shared, choice.clone()),
+            call,
+            choice,
+        })
+    }
+}
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -130,6 +130,7 @@
                 effects.push(self.retry(id, call, retry, failure, now, random));
                 effects
             }
+            Event::Late { id, call, tried } => vec![self.hedge(id, call, tried, now, random)],
             Event::SlotWanted { id, call } => self.want_slot(id, call, now),
             Event::SlotDone { id, outcome } => {
                 slot_effects(self.admission.finish(id, outcome, now))
@@ -218,6 +219,7 @@
             path: grant.path.clone(),
             work,
             attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
+            target_ms: grant.terms.target_ms,
             server: Some(choice.endpoint.server.clone()),
             idempotent: is_repeatable(work, head.method),
             idempotency_key: match work {
@@ -314,6 +316,39 @@
         }
     }
 
+    /// Chooses a second server for a call whose answer is late.
+    fn hedge(
+        &mut self,
+        id: CallId,
+        call: &Call,
+        tried: &[ServerName],
+        now: Instant,
+        random: u64,
+    ) -> Effect {
+        let give_up = |reason| Effect::GiveUp { id, reason };
+        if !self.budget_of(&call.service, now).take_spare(now) {
+            return give_up(GiveUp::Budget);
+        }
+        let route = self.snapshot.as_ref().and_then(|snapshot| {
+            let (plan, path) = (&call.plan, call.path.as_str());
+            snapshot.route_to(plan, &call.service, path).ok()
+        });
+        let choice = route.and_then(|route| self.balancer.pick(&route, now, random, tried));
+        let Some(choice) = choice else {
+            return give_up(GiveUp::Cause);
+        };
+        let server = Some(choice.endpoint.server.clone());
+        Effect::Forward {
+            id,
+            call: Box::new(Call {
+                server,
+                ..call.clone()
+            }),
+            choice,
+            not_before: now,
+        }
+    }
+
     fn record(&mut self, attempt: &Attempt<'_>, now: Instant) -> Vec<Effect> {
         let latency = now.saturating_duration_since(attempt.since);
         if let Some(load) = &attempt.load {
--- a/src/program.rs
+++ b/src/program.rs
@@ -206,11 +206,7 @@
 }
 
 /// Runs a replica until a signal or until its thread ends.
-async fn run_replica(
-    cfg: settings::Control,
-    bootstrap: bool,
-    signals: &mut Signals,
-) -> Result<()> {
+async fn run_replica(cfg: settings::Control, bootstrap: bool, signals: &mut Signals) -> Result<()> {
     let listeners = control::Listeners::bind(&cfg).await?;
     let control = Control::start(cfg, listeners, bootstrap).await?;
     loop {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -65,6 +65,19 @@
         true
     }
 
+    /// Takes one retry if less than half of the budget is used, for sends that are useful but not
+    /// needed. Returns whether it was granted.
+    pub fn take_spare(&mut self, now: Instant) -> bool {
+        self.advance(now);
+        let oldest = (self.slot() + 1) % STEPS;
+        let calls = self.calls.iter().sum::<u64>() - self.calls[oldest];
+        let retries = self.retries.iter().sum::<u64>();
+        if 2 * retries >= MIN_RETRIES.max(calls / RETRY_SHARE) {
+            return false;
+        }
+        self.take(now)
+    }
+
     fn slot(&self) -> usize {
         (self.newest % STEPS as u64) as usize
     }
