Eject only servers that fail far more than half of their peers

Cause: while a called service sheds, all servers of its callers answer 500 with noise between them; each daemon ejected up to three of six servers of chart-desk (log event 404) and overloaded the rest.

Change: failures are compared with the median of the peers, and the margin is 0.35 instead of 0.2 above the quarter with the fewest.

--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -29,7 +29,7 @@
 /// Failures in a row that raise a suspicion.
 const STREAK: u32 = 3;
 /// Failures above the better peers' share that eject a server.
-const FAILURE_MARGIN: f64 = 0.2;
+const FAILURE_MARGIN: f64 = 0.35;
 /// Factor over the better peers' latency that counts as slow by far.
 const SLOW_FACTOR: f64 = 5.0;
 /// Seconds above the better peers' latency that count as slow: two round trips between regions,
@@ -355,7 +355,7 @@
             peers.map(|peer| (peer.failures, peer.latency())).unzip();
         let latencies = latencies.into_iter().flatten().collect();
         Self {
-            failures: lower_quartile(failures).unwrap_or(0.0),
+            failures: median(failures).unwrap_or(0.0),
             latency: lower_quartile(latencies),
         }
     }
@@ -376,6 +376,11 @@
     }
 }
 
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 fn lower_quartile(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 4).copied()
