Refuse on arrival what would miss its wanted latency

Change: an owner daemon refuses a call whose forecast wait exceeds its wanted latency, except calls that a backend server makes itself; a refused call goes to another usable server at once.

--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -232,6 +232,7 @@
     let mut call = Call {
         repeatable: true,
         attempts: anvilbeam::retry::MAX_ATTEMPTS,
+        elsewhere: false,
         deadline: now + Duration::from_mins(1),
         body: Body::Replayable,
         tried: Vec::new(),
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -26,6 +26,7 @@
         plan: &PlanName::from(plan),
         weight: 10,
         deadline: now + left,
+        wanted: None,
     };
     admission.arrive(&call, now)
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,11 +8,12 @@
     crate::{
         load::Load,
         model::{Endpoint, Rank, ServerName, ServiceName},
-        routes::{Distance, Snapshot},
+        routes::{Candidates, Distance, Snapshot},
     },
     draw::Scored,
     health::Health,
     indexmap::{IndexMap, IndexSet},
+    pick::Tier,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -252,6 +253,21 @@
         health::Peers::new(others.filter_map(|server| self.servers.get(server)))
     }
 
+    /// Whether a candidate outside of `exclude` is neither ejected nor full nor refusing calls.
+    pub fn has_usable(
+        &self,
+        candidates: &Candidates,
+        rank: Rank,
+        exclude: &[ServerName],
+        now: Instant,
+    ) -> bool {
+        candidates.all().iter().any(|endpoint| {
+            let health = self.servers.get(&endpoint.server);
+            !exclude.contains(&endpoint.server)
+                && health.is_some_and(|health| health.tier(rank, now) == Tier::Usable)
+        })
+    }
+
     /// Latency of the quicker servers of a service, as seen here.
     pub fn usual_latency(&self, service: &ServiceName) -> Option<Duration> {
         let members = self.members.get(service).into_iter().flatten();
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -235,6 +235,8 @@
             body: self.replay.kind(),
             tried: self.tried.clone(),
             attempts: call.attempts,
+            // Filled in by the reducer, which knows the other servers.
+            elsewhere: false,
             is_retry: self.parts.headers.contains_key(RETRIED_HEADER),
         };
         let event = Event::Failed {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -23,6 +23,7 @@
     http::{Request, Response, request::Parts},
     hyper::body::{Body as _, Incoming},
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -79,10 +80,16 @@
 }
 
 /// Handles one request of a caller.
-pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<Body> {
     let now = Instant::now();
     let (parts, incoming) = req.into_parts();
-    let response = route(&shared, &parts, incoming).await;
+    // Calls that the backend server beside this daemon makes come from the same VM.
+    let nested = peer.ip() == shared.advertised.ip();
+    let response = route(&shared, &parts, incoming, nested).await;
     if shared.dialect.is_strict() {
         let asked = call::deadline_of(&shared.dialect, &parts.headers, now, MAX_TIMEOUT);
         return shared.dialect.present(response, asked.unwrap_or(now));
@@ -137,11 +144,16 @@
     Some((plan.clone(), home))
 }
 
-async fn route(shared: &Arc<Shared>, parts: &Parts, incoming: Incoming) -> Response<Body> {
+async fn route(
+    shared: &Arc<Shared>,
+    parts: &Parts,
+    incoming: Incoming,
+    nested: bool,
+) -> Response<Body> {
     let now = Instant::now();
     let id = shared.call_id();
     let streamed = !is_small(&incoming, shared.cfg.replay_limit);
-    let (call, choice) = match admit(shared, id, parts, streamed, now) {
+    let (call, choice) = match admit(shared, id, parts, (streamed, nested), now) {
         Ok(admitted) => admitted,
         Err(refusal) => {
             body::discard(body::boxed(incoming), now + DISCARD_TIME).await;
@@ -180,7 +192,7 @@
     shared: &Shared,
     id: CallId,
     parts: &Parts,
-    streamed: bool,
+    (streamed, nested): (bool, bool),
     now: Instant,
 ) -> Result<(Box<Call>, Choice), Refusal> {
     let dialect = &shared.dialect;
@@ -198,6 +210,7 @@
         path: parts.uri.path(),
         deadline: call::deadline_of(dialect, &parts.headers, now, default)?,
         depth: call::depth_of(&parts.headers)?,
+        nested,
         method: &parts.method,
         idempotency_key: call::idempotency_key_of(&parts.method, &parts.headers),
         streamed: streamed && !parts.headers.contains_key(&dialect.timeout_ms),
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -220,6 +220,12 @@
             work,
             attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
             target_ms: grant.terms.target_ms,
+            // Refusing a nested call wastes the work of the call that makes it.
+            wanted: grant
+                .terms
+                .target_ms
+                .filter(|_| !head.nested)
+                .map(|ms| now + Duration::from_millis(ms)),
             server: Some(choice.endpoint.server.clone()),
             idempotent: is_repeatable(work, head.method),
             idempotency_key: match work {
@@ -275,9 +281,11 @@
         now: Instant,
         random: u64,
     ) -> Effect {
+        let mut retry = retry.clone();
+        retry.elsewhere = self.takes_elsewhere(call, &retry.tried, now);
         match retry::decide(
             &failure,
-            retry,
+            &retry,
             self.budget_of(&call.service, now),
             now,
             random,
@@ -316,6 +324,18 @@
         }
     }
 
+    /// Whether a server that was not tried is expected to take the call at once.
+    fn takes_elsewhere(&self, call: &Call, tried: &[ServerName], now: Instant) -> bool {
+        let route = self.snapshot.as_ref().and_then(|snapshot| {
+            let (plan, path) = (&call.plan, call.path.as_str());
+            snapshot.route_to(plan, &call.service, path).ok()
+        });
+        route.is_some_and(|route| {
+            self.balancer
+                .has_usable(route.candidates, call.rank, tried, now)
+        })
+    }
+
     /// Chooses a second server for a call whose answer is late.
     fn hedge(
         &mut self,
@@ -384,6 +404,7 @@
             plan: &call.plan,
             weight: call.capacity,
             deadline: call.deadline,
+            wanted: call.wanted,
         };
         slot_effects(self.admission.arrive(&arriving, now))
     }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -121,6 +121,8 @@
     pub tried: Vec<ServerName>,
     /// Backend servers to which the call may be sent.
     pub attempts: u32,
+    /// Whether a server that was not tried is expected to take the call at once.
+    pub elsewhere: bool,
     /// Whether the request arrived with `RETRIED_HEADER`.
     pub is_retry: bool,
 }
@@ -201,6 +203,7 @@
 /// let call = Call {
 ///     repeatable: false,
 ///     attempts: 3,
+///     elsewhere: false,
 ///     deadline: now + Duration::from_secs(1),
 ///     body: Body::Replayable,
 ///     tried: vec!["v1".into()],
@@ -220,7 +223,13 @@
     if let Some(reason) = obstacle(failure, call) {
         return Decision::GiveUp(reason);
     }
-    let not_before = now + wait(failure.cause, call.tried.len(), random);
+    let refused = matches!(failure.cause, Cause::Overloaded { .. });
+    let elsewhere = refused && call.elsewhere;
+    let not_before = if elsewhere {
+        now
+    } else {
+        now + wait(failure.cause, call.tried.len(), random)
+    };
     if not_before + MIN_TIME_LEFT > call.deadline {
         return Decision::GiveUp(GiveUp::Deadline);
     }
@@ -229,7 +238,7 @@
     }
     // The hint has passed by then, and the balancer prefers others by itself.
     let exclude = match failure.cause {
-        Cause::Overloaded { .. } => Vec::new(),
+        Cause::Overloaded { .. } if !elsewhere => Vec::new(),
         _ => call.tried.clone(),
     };
     Decision::Retry {
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -139,6 +139,7 @@
         let call = Call {
             repeatable: is_idempotent(&method.parse().expect("a valid method")),
             attempts: MAX_ATTEMPTS,
+            elsewhere: false,
             deadline,
             body: if streamed { Body::Streamed } else { Body::Replayable },
             tried: (0..attempts).map(|n| ServerName::from(&*format!("v{n}"))).collect(),
@@ -199,6 +200,7 @@
     let mut call = Call {
         repeatable: is_idempotent(&level.method),
         attempts: MAX_ATTEMPTS,
+        elsewhere: false,
         deadline: now + Duration::from_mins(10),
         body: level.body,
         tried: Vec::new(),
@@ -259,3 +261,29 @@
     assert!(waits.iter().zip(waits.iter().skip(1)).all(|(a, b)| a < b));
     assert!(bound(2).max() > bound(1).max());
 }
+
+/// Guards against a call that waits for a full server while another would take it at once.
+#[test]
+fn an_overloaded_server_is_left_for_another_at_once() {
+    let now = Instant::now();
+    let call = Call {
+        repeatable: false,
+        deadline: now + Duration::from_secs(1),
+        body: Body::Replayable,
+        tried: vec!["v1".into()],
+        attempts: 2,
+        elsewhere: true,
+        is_retry: false,
+    };
+    let retry_after = Some(Duration::from_millis(300));
+    let failure = Failure {
+        cause: Cause::Overloaded { retry_after },
+        retried_below: false,
+    };
+    let decision = decide(&failure, &call, &mut Budget::new(now), now, 7);
+    let expected = Decision::Retry {
+        not_before: now,
+        exclude: vec!["v1".into()],
+    };
+    assert_eq!(decision, expected);
+}
