Compare data centres also where the own one has no server of the service

Change: the comparison starts from the nearest group that has a server, and relief goes to the best server, not to any of its group. The earlier refusal of calls that would miss their wanted latency is removed: it could not tell nested calls from others, since both come from the machine's own address, so it never acted on the platform. The log lines of a call carry its request id, and call-answered (408) tells where its time went.

--- a/examples/slopes/calls.rs
+++ b/examples/slopes/calls.rs
@@ -79,7 +79,6 @@
                     service: service.clone(),
                 },
                 path: "/",
-                nested: false,
                 deadline: now + Duration::from_secs(5),
                 depth: 0,
                 method: &Method::GET,
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -58,9 +58,6 @@
     pub weight: u32,
     /// When the answer is due.
     pub deadline: Instant,
-    /// When the caller wants the answer; a call whose turn comes too late for it is refused on
-    /// arrival, so that under overload the calls that are served are served in time.
-    pub wanted: Option<Instant>,
 }
 
 /// How a started call ended.
@@ -145,7 +142,6 @@
 ///     plan: &plan,
 ///     weight: 100,
 ///     deadline: now + Duration::from_secs(1),
-///     wanted: None,
 /// };
 /// let mut admission = Admission::new(1);
 /// assert_eq!(admission.arrive(&call(1), now), [Effect::Start(1)]);
--- a/src/admission/schedule.rs
+++ b/src/admission/schedule.rs
@@ -31,7 +31,7 @@
             return Err(refuse(Reason::TooLate, None));
         }
         let wait = self.forecast_wait(call, now);
-        if !self.meets_deadline(call, Some(wait), now) || self.misses_wanted(call, wait, now) {
+        if !self.meets_deadline(call, Some(wait), now) {
             return Err(refuse(Reason::TooLate, Some(now + wait)));
         }
         let queue = &self.ranks[call.rank.index()];
@@ -306,14 +306,6 @@
         wait.as_secs_f64() + margin <= left
     }
 
-    /// Whether a call that starts after `wait` is expected to end later than it is wanted.
-    fn misses_wanted(&self, call: &Call<'_>, wait: Duration, now: Instant) -> bool {
-        let queue = &self.ranks[call.rank.index()];
-        let service = seconds(queue.estimate(call.plan.as_str()).median());
-        call.wanted
-            .is_some_and(|wanted| now + wait + service > wanted)
-    }
-
     /// Whether a waiting call would end after its deadline if it started now.
     fn would_be_late(&self, id: u64, now: Instant) -> bool {
         let Some(entry) = self.calls.get(&id) else {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -26,7 +26,6 @@
         plan: &PlanName::from(plan),
         weight: 10,
         deadline: now + left,
-        wanted: None,
     };
     admission.arrive(&call, now)
 }
--- a/src/admission/tests/machine.rs
+++ b/src/admission/tests/machine.rs
@@ -163,7 +163,6 @@
             plan: &plan,
             weight,
             deadline,
-            wanted: None,
         };
         self.admission.arrive(&call, self.now)
     }
--- a/src/admission/tests/scenarios.rs
+++ b/src/admission/tests/scenarios.rs
@@ -40,7 +40,6 @@
                     plan: &PlanName::from(*plan),
                     weight: *weight,
                     deadline: now + HOUR,
-                    wanted: None,
                 };
                 flow_of.insert(next_id, flow);
                 waiting[flow] += 1;
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -59,7 +59,8 @@
 }
 
 /// Expected answer of the best server of a group, in seconds.
-struct Best {
+struct Best<'a> {
+    endpoint: &'a Arc<Endpoint>,
     completion: f64,
     service_time: f64,
 }
@@ -113,13 +114,16 @@
             exclude,
         };
         let mut draws = Draws(random);
-        if let Some(distance) = self.relief(&call)
-            && draws.unit() >= RETURN_SHARE
+        if draws.unit() >= RETURN_SHARE
+            && let Some((distance, endpoint)) = self.relief(&call)
         {
-            let relief = self.pick_at(&call, Tier::Usable, distance, &mut draws);
-            if relief.is_some() {
-                return relief;
-            }
+            self.servers[&endpoint.server].started(now);
+            return Some(Choice {
+                endpoint,
+                distance,
+                rank,
+                probe: false,
+            });
         }
         if self.leaves_data_centre(&call, &mut draws) {
             let region = self.pick_at(&call, Tier::Usable, Distance::OwnRegion, &mut draws);
@@ -142,39 +146,42 @@
     /// Whether a call tries the other data centres of the region first: a small share always does,
     /// and more while the servers of the own data centre are cold, or slow start would not hold
     /// where a server is alone in its data centre.
-    /// The group whose best server is expected to answer much earlier than the best one of the own
-    /// data centre, by the loads that owner daemons reported.
-    fn relief(&self, call: &Call<'_>) -> Option<Distance> {
-        let own = self.best_completion(call, Distance::OwnDataCentre, None)?;
-        let others = [Distance::OwnRegion, Distance::OtherRegion];
-        let others = others.into_iter().filter_map(|distance| {
-            let best = self.best_completion(call, distance, Some(own.service_time))?;
+    /// A server that is expected to answer much earlier than the best one of the nearest group that
+    /// has any, by the loads that owner daemons reported.
+    fn relief(&self, call: &Call<'_>) -> Option<(Distance, Arc<Endpoint>)> {
+        let (nearest, near) = Distance::iter()
+            .find_map(|distance| Some((distance, self.best(call, distance, None)?)))?;
+        let expected = near.completion + travel(nearest);
+        let others = Distance::iter().filter(|distance| *distance > nearest);
+        let others = others.filter_map(|distance| {
+            let best = self.best(call, distance, Some(near.service_time))?;
             let answer = best.completion + travel(distance);
-            let worth = answer < own.completion * relief_share(distance);
-            worth.then_some((distance, answer))
+            let worth = answer < expected * relief_share(distance);
+            worth.then_some((answer, distance, best.endpoint))
         });
-        let (distance, _) = others.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some(distance)
+        let (_, distance, endpoint) = others.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some((distance, Arc::clone(endpoint)))
     }
 
-    /// The earliest expected answer among the usable servers of a group; `None` when there is
-    /// nothing to compare.
-    fn best_completion(
+    /// The server of a group with the earliest expected answer; `None` when there is nothing to
+    /// compare. A server that has not reported counts with `service_time`.
+    fn best<'a>(
         &self,
-        call: &Call<'_>,
+        call: &Call<'a>,
         distance: Distance,
         service_time: Option<f64>,
-    ) -> Option<Best> {
+    ) -> Option<Best<'a>> {
         let group = call.candidates.group(distance).iter();
         let usable = group.filter_map(|endpoint| {
             let health = self.servers.get(&endpoint.server)?;
             let usable = health.tier(call.rank, call.now) == Tier::Usable;
             let excluded = call.exclude.contains(&endpoint.server);
-            (usable && !excluded).then_some(health)
+            (usable && !excluded).then_some((endpoint, health))
         });
-        let best = usable.filter_map(|health| {
+        let best = usable.filter_map(|(endpoint, health)| {
             let service_time = health.service_time(call.now).or(service_time)?;
             Some(Best {
+                endpoint,
                 completion: health.completion(service_time, call.now),
                 service_time,
             })
--- a/src/call.rs
+++ b/src/call.rs
@@ -36,8 +36,6 @@
 pub const WORK: HeaderName = HeaderName::from_static("anvilbeam-work");
 /// Header with the backend server that was chosen, between daemons.
 pub const SERVER: HeaderName = HeaderName::from_static("anvilbeam-server");
-/// Header with the milliseconds until an answer is wanted, between daemons.
-pub const WANTED_MS: HeaderName = HeaderName::from_static("anvilbeam-wanted-ms");
 /// Header with the running and waiting calls and the slots of the backend server, from an owner
 /// daemon.
 pub const LOAD: HeaderName = HeaderName::from_static("anvilbeam-load");
@@ -54,8 +52,7 @@
 /// Standard header with the idempotency key.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Headers that only daemons and backend servers of the mesh may set.
-const OWN: [HeaderName; 19] = [
-    WANTED_MS,
+const OWN: [HeaderName; 18] = [
     TIMEOUT_MS,
     DEPTH,
     PLAN,
@@ -120,8 +117,6 @@
     pub attempts: u32,
     /// Time within which an answer is wanted, in milliseconds; only the entry daemon knows it.
     pub target_ms: Option<u64>,
-    /// When an answer is wanted; the owner daemon refuses a call whose turn comes too late for it.
-    pub wanted: Option<Instant>,
     /// The backend server that was chosen; the owner daemon refuses the call for any other.
     pub server: Option<ServerName>,
     /// Whether a second run does no harm.
@@ -259,10 +254,6 @@
         if let Some(work) = self.work {
             write_text(headers, WORK, &work.to_string());
         }
-        if let Some(wanted) = self.wanted {
-            let left = wanted.saturating_duration_since(now).as_millis() as u64;
-            headers.insert(WANTED_MS, left.into());
-        }
         if let Some(server) = &self.server {
             write_text(headers, SERVER, server.as_str());
         }
@@ -307,11 +298,6 @@
             // Only the entry daemon sends a call again.
             attempts: 1,
             target_ms: None,
-            wanted: headers
-                .get(&WANTED_MS)
-                .map(|value| number(&WANTED_MS, value))
-                .transpose()?
-                .map(|ms| now + Duration::from_millis(ms).min(MAX_TIMEOUT)),
             server: optional(headers, &SERVER)?.map(Into::into),
             idempotent: is_repeatable(work, &parts.method),
             idempotency_key: match work {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -237,8 +237,8 @@
 
 fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Server {
     let shared = Arc::clone(shared);
-    serve::serve(listener, move |req, peer| {
-        entry::handle(Arc::clone(&shared), req, peer)
+    serve::serve(listener, move |req, _| {
+        entry::handle(Arc::clone(&shared), req)
     })
 }
 
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -125,6 +125,7 @@
         loop {
             log_event!(
                 LogEvent::CallRouted,
+                request = self.request_id(),
                 call = self.id,
                 plan = call.plan,
                 service = call.service,
@@ -152,6 +153,7 @@
             let failed = match sent {
                 Sent::Answer(mut response) => {
                     self.answered(&call, &choice, &response, pending.since);
+                    self.log_answer(&call, &choice, &response, arrived);
                     self.record_added(&call, &mut response, arrived);
                     return response;
                 }
@@ -168,6 +170,7 @@
                 }) => {
                     log_event!(
                         LogEvent::CallRetried,
+                        request = self.request_id(),
                         call = self.id,
                         plan = call.plan,
                         service = call.service,
@@ -186,6 +189,33 @@
         }
     }
 
+    /// The id that the caller gave its request.
+    pub(super) fn request_id(&self) -> &str {
+        self.shared.dialect.id_of(&self.parts.headers)
+    }
+
+    fn log_answer(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        response: &Response<Body>,
+        arrived: Instant,
+    ) {
+        let load = Load::read(response.headers());
+        let server = load.and_then(|load| load.took).unwrap_or_default();
+        log_event!(
+            LogEvent::CallAnswered,
+            request = self.request_id(),
+            call = self.id,
+            service = call.service,
+            server = choice.endpoint.server,
+            status = response.status().as_u16(),
+            total_ms = arrived.elapsed().as_millis(),
+            server_ms = server.as_millis(),
+            attempts = self.tried.len(),
+        );
+    }
+
     /// Records the time that was spent outside of the backend server.
     fn record_added(&self, call: &Call, response: &mut Response<Body>, arrived: Instant) {
         response.headers_mut().remove(call::LOAD);
@@ -273,6 +303,7 @@
         };
         log_event!(
             LogEvent::CallRefused,
+            request = self.request_id(),
             call = self.id,
             plan = call.plan,
             service = call.service,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -23,7 +23,6 @@
     http::{Request, Response, request::Parts},
     hyper::body::{Body as _, Incoming},
     std::{
-        net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -80,16 +79,10 @@
 }
 
 /// Handles one request of a caller.
-pub async fn handle(
-    shared: Arc<Shared>,
-    req: Request<Incoming>,
-    peer: SocketAddr,
-) -> Response<Body> {
+pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let now = Instant::now();
     let (parts, incoming) = req.into_parts();
-    // Calls that the backend server beside this daemon makes come from the same VM.
-    let nested = peer.ip() == shared.advertised.ip();
-    let response = route(&shared, &parts, incoming, nested).await;
+    let response = route(&shared, &parts, incoming).await;
     if shared.dialect.is_strict() {
         let asked = call::deadline_of(&shared.dialect, &parts.headers, now, MAX_TIMEOUT);
         return shared.dialect.present(response, asked.unwrap_or(now));
@@ -144,20 +137,15 @@
     Some((plan.clone(), home))
 }
 
-async fn route(
-    shared: &Arc<Shared>,
-    parts: &Parts,
-    incoming: Incoming,
-    nested: bool,
-) -> Response<Body> {
+async fn route(shared: &Arc<Shared>, parts: &Parts, incoming: Incoming) -> Response<Body> {
     let now = Instant::now();
     let id = shared.call_id();
     let streamed = !is_small(&incoming, shared.cfg.replay_limit);
-    let (call, choice) = match admit(shared, id, parts, (streamed, nested), now) {
+    let (call, choice) = match admit(shared, id, parts, streamed, now) {
         Ok(admitted) => admitted,
         Err(refusal) => {
             body::discard(body::boxed(incoming), now + DISCARD_TIME).await;
-            return refuse(shared, id, None, &refusal);
+            return refuse(shared, id, parts, None, &refusal);
         }
     };
     // Counts as cancelled when the caller goes away while the call waits for a share.
@@ -167,7 +155,7 @@
     if let Err(refusal) = taken {
         pending.release(&choice);
         body::discard(body::boxed(incoming), Instant::now() + DISCARD_TIME).await;
-        return refuse(shared, id, Some(&call), &refusal);
+        return refuse(shared, id, parts, Some(&call), &refusal);
     }
     match Replay::read(parts, incoming, shared.cfg.replay_limit).await {
         Ok(replay) => {
@@ -192,7 +180,7 @@
     shared: &Shared,
     id: CallId,
     parts: &Parts,
-    (streamed, nested): (bool, bool),
+    streamed: bool,
     now: Instant,
 ) -> Result<(Box<Call>, Choice), Refusal> {
     let dialect = &shared.dialect;
@@ -210,7 +198,6 @@
         path: parts.uri.path(),
         deadline: call::deadline_of(dialect, &parts.headers, now, default)?,
         depth: call::depth_of(&parts.headers)?,
-        nested,
         method: &parts.method,
         idempotency_key: call::idempotency_key_of(&parts.method, &parts.headers),
         streamed: streamed && !parts.headers.contains_key(&dialect.timeout_ms),
@@ -222,9 +209,16 @@
     }
 }
 
-fn refuse(shared: &Shared, id: CallId, call: Option<&Call>, refusal: &Refusal) -> Response<Body> {
+fn refuse(
+    shared: &Shared,
+    id: CallId,
+    parts: &Parts,
+    call: Option<&Call>,
+    refusal: &Refusal,
+) -> Response<Body> {
     log_event!(
         LogEvent::CallRefused,
+        request = shared.dialect.id_of(&parts.headers),
         call = id,
         plan = call.map_or("?", |call| call.plan.as_str()),
         service = call.map_or("?", |call| call.service.as_str()),
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -31,8 +31,6 @@
     pub deadline: Instant,
     /// Calls above this one.
     pub depth: u32,
-    /// Whether a backend server makes the call while it runs another.
-    pub nested: bool,
     /// Method of the request.
     pub method: &'a Method,
     /// Key that tells resends of one request from new requests, or why it can't be used. Only
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -113,6 +113,7 @@
         };
         log_event!(
             LogEvent::CallRetried,
+            request = self.request_id(),
             call = self.id,
             plan = call.plan,
             service = call.service,
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -50,6 +50,7 @@
 
 /// Runs one call, or refuses it.
 pub async fn run(shared: Arc<Shared>, call: Call, req: Request<Body>) -> Response<Body> {
+    let id = shared.dialect.id_of(req.headers()).to_owned();
     let answered = if call.idempotent || call.work.is_some() {
         run_unclaimed(&shared, &call, req).await
     } else {
@@ -58,6 +59,7 @@
     let mut response = answered.unwrap_or_else(|refusal| {
         log_event!(
             LogEvent::AdmissionRefused,
+            request = id,
             reason = refusal.reason,
             outcome = refusal.outcome,
             detail = refusal.detail,
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -220,12 +220,6 @@
             work,
             attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
             target_ms: grant.terms.target_ms,
-            // Refusing a nested call wastes the work of the call that makes it.
-            wanted: grant
-                .terms
-                .target_ms
-                .filter(|_| !head.nested)
-                .map(|ms| now + Duration::from_millis(ms)),
             server: Some(choice.endpoint.server.clone()),
             idempotent: is_repeatable(work, head.method),
             idempotency_key: match work {
@@ -404,7 +398,6 @@
             plan: &call.plan,
             weight: call.capacity,
             deadline: call.deadline,
-            wanted: call.wanted,
         };
         slot_effects(self.admission.arrive(&arriving, now))
     }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -9,7 +9,7 @@
         call::{SHED, TIMEOUT_MS},
         refusal::{OUTCOME, Outcome, REASON, RETRY_AFTER_MS, Reason, Refusal},
     },
-    http::{HeaderName, HeaderValue, Response, StatusCode, header},
+    http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
     serde::{Deserialize, Serialize},
     std::time::{Duration, Instant},
 };
@@ -60,6 +60,12 @@
         }
     }
 
+    /// The id that a caller gave its request, or `-`.
+    pub fn id_of<'a>(&self, headers: &'a HeaderMap) -> &'a str {
+        let value = self.request_id.as_ref().and_then(|name| headers.get(name));
+        value.and_then(|value| value.to_str().ok()).unwrap_or("-")
+    }
+
     /// Whether answers are checked and passed on whole, and refusals have plain statuses.
     pub const fn is_strict(&self) -> bool {
         self.signature.is_some()
--- a/src/events.rs
+++ b/src/events.rs
@@ -76,6 +76,8 @@
     CallCancelled = 406,
     /// A connection stopped responding and was closed.
     ConnectionClosed = 407,
+    /// An answer was passed on to the caller.
+    CallAnswered = 408,
 
     /// The owner daemon gave a call a slot.
     CallAdmitted = 501,
@@ -169,6 +171,7 @@
             | Self::OperatorRefused => Level::Warn,
             Self::EndpointSetApplied
             | Self::CallRouted
+            | Self::CallAnswered
             | Self::CallCancelled
             | Self::CallAdmitted
             | Self::CallQueued
