--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -11,6 +11,7 @@
 };
 
 mod policy;
+mod relief;
 
 const SERVERS: u8 = 6;
 
--- a/src/lists/tests.rs
+++ b/src/lists/tests.rs
@@ -258,3 +258,45 @@
         prop_assert_eq!(added, new.plans.keys().filter(|name| !old.plans.contains_key(*name)).count());
     }
 }
+
+/// Guards against a field of a grant that is lost between the list and its rendering.
+#[test]
+fn grants_keep_their_terms() {
+    let plans = "plans:\n- name: offices.example\n  key_hashes: []\n  home_region: any\n";
+    let grants = "grants:\n- plan: offices.example\n  service: desk\n  path: /a/\n  rank: high\n  \
+                  weight: 90\n  work: unsafe\n  timeout: 1200ms\n  target_latency: 300ms\n  \
+                  attempts: 2\n  note: kept\n";
+    let lists = check(plans, grants).unwrap();
+    let terms = &lists.grants[0].terms;
+    assert_eq!((terms.weight, terms.attempts), (Some(90), Some(2)));
+    assert_eq!((terms.timeout_ms, terms.target_ms), (Some(1200), Some(300)));
+    assert_eq!(lists.grants[0].capacity, crate::model::UNLIMITED);
+    let again = check(&render_plans(&lists), &render_grants(&lists)).unwrap();
+    assert_eq!(again, lists);
+}
+
+/// Guards against a wrong field of a grant without the value and the line that hold it.
+#[test]
+fn wrong_terms_are_named() {
+    let wrong = |line: &str| {
+        let head = "grants:\n- plan: depot\n  service: desk\n  rank: high\n  ";
+        reasons(PLANS, &format!("{head}{line}\n")).join(" ")
+    };
+    for (line, part) in [
+        (
+            "path: a/",
+            "path \"a/\" does not begin and end with a slash",
+        ),
+        ("weight: none", "weight \"none\" is not a whole number"),
+        (
+            "work: risky",
+            "work \"risky\" is not safe, unsafe or upload",
+        ),
+        ("timeout: soon", "timeout \"soon\" is not a duration"),
+        ("attempts: 0", "attempts \"0\" is not a whole number"),
+    ] {
+        let found = wrong(line);
+        assert!(found.contains("grants.yaml:5:"), "{found}");
+        assert!(found.contains(part), "{found}");
+    }
+}
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -175,3 +175,32 @@
     let empty = snapshot.with_config(Arc::default());
     assert_eq!(empty.authenticate("p1"), None);
 }
+
+/// Guards against a request that goes by a shorter prefix than the longest that is granted, and
+/// against a prefix that ends inside a path segment.
+#[test]
+fn the_longest_granted_prefix_decides() {
+    let mut cfg = config(&[]);
+    for (service, path) in [("s0", "/"), ("s1", "/a/"), ("s2", "/a/b/"), ("s0", "/a/b/")] {
+        let grant = Grant {
+            plan: PlanName::from("p0"),
+            service: ServiceName::from(service),
+            servers: Vec::new(),
+            capacity: 1,
+            rank: Rank::Normal,
+            path: path.into(),
+            terms: Terms::default(),
+        };
+        cfg.grants.insert(grant.key(), grant);
+    }
+    let snapshot = Snapshot::build(Arc::new(cfg), std::iter::empty(), here());
+    let services = |path: &str| {
+        let grants = snapshot.grants_at("p0", path);
+        let names = grants.iter().map(|grant| grant.service.to_string());
+        names.collect::<Vec<_>>()
+    };
+    assert_eq!(services("/a/b/c?x=/a/"), ["s2", "s0"]);
+    assert_eq!(services("/a/bc"), ["s1"]);
+    assert_eq!(services("/other"), ["s0"]);
+    assert!(snapshot.grants_at("p1", "/a/").is_empty());
+}
