--- a/src/balance/tests/relief.rs
+++ b/src/balance/tests/relief.rs
@@ -1,7 +1,6 @@
 //! Choice of another data centre by reported load.
 
 use super::*;
-use crate::load::Load;
 
 /// Most of the random numbers that a pick may get; a few calls explore on purpose.
 const RANDOMS: u64 = 200;
