--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,7 @@
 pub(crate) mod local;
 mod order;
 mod owner;
+mod pending;
 pub mod shared;
 pub mod state;
 mod tree;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        attempt::{Forwarding, Pending},
+        attempt::Forwarding,
         event::{CallId, Effect, Event, Head, Target},
         order,
+        pending::Pending,
         shared::Shared,
     },
     crate::{
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -5,8 +5,9 @@
 
 use {
     super::{
-        attempt::{Forwarding, Pending, Sent},
+        attempt::{Forwarding, Sent},
         event::{Effect, Event},
+        pending::Pending,
     },
     crate::{balance::Choice, call::Call, events::Event as LogEvent, log_event},
     std::{
--- /dev/null
+++ b/src/daemon/state/own_server.rs
@@ -0,0 +1,193 @@
+//! The backend server beside the daemon: its announcements, its crashes and its end.
+
+use {
+    super::{
+        super::{
+            decision::slot_effects,
+            event::{CallId, Effect},
+        },
+        OwnServer, State,
+    },
+    crate::{
+        announce::{Announcement, Beat},
+        model::{ServerName, ServerState},
+        refusal::{Reason, Refusal},
+        suspects::{Fingerprint, Verdict},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Wait after which a suspect may find its server without another suspect.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Starts of the own backend server that are remembered as over; announcements are late by seconds.
+const MAX_RETIRED: usize = 32;
+
+impl State {
+    pub(super) fn start_run(
+        &mut self,
+        id: CallId,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> Effect {
+        let Some(server) = &self.server else {
+            let detail = "the backend server is no longer announced";
+            let refusal = Refusal::not_run(Reason::NoServer, detail);
+            return Effect::Refuse { id, refusal };
+        };
+        let name = &server.announcement.server;
+        let refusal = match self.suspects.check(fingerprint, name) {
+            Verdict::Free | Verdict::RunAsOnlySuspect => {
+                let run = self.suspects.started(fingerprint, name);
+                return Effect::Run { id, run };
+            }
+            Verdict::Busy => {
+                let detail = "a request that may have crashed a backend server runs alone";
+                let mut refusal = Refusal::not_run(Reason::SuspectBusy, detail);
+                refusal.retry_at = Some(now + SUSPECT_PAUSE);
+                refusal
+            }
+            Verdict::Condemned => Refusal::not_run(
+                Reason::Condemned,
+                format!(
+                    "the request crashed two backend servers of {}",
+                    server.announcement.service
+                ),
+            ),
+        };
+        Effect::Refuse { id, refusal }
+    }
+
+    pub(super) fn server_crashed(&mut self, incarnation: u64, now: Instant) -> Vec<Effect> {
+        let same = |server: &&OwnServer| server.announcement.incarnation == incarnation;
+        let Some(server) = self.server.as_ref().filter(same) else {
+            return Vec::new();
+        };
+        let name = server.announcement.server.clone();
+        let mut effects = self.count_crash(&name, now);
+        effects.extend(self.server_gone(incarnation, now));
+        effects
+    }
+
+    fn count_crash(&mut self, server: &ServerName, now: Instant) -> Vec<Effect> {
+        let crashes = self.suspects.crashed(server, now);
+        let some = Some(crashes).filter(|crashes| !crashes.is_empty());
+        some.map(Effect::Crashed).into_iter().collect()
+    }
+
+    /// Whether a newer announcement was heard, or the start of the server is over.
+    fn is_late(&self, announcement: &Announcement, beat: Beat) -> bool {
+        let Some(sequence) = beat.sequence else {
+            return false;
+        };
+        let start = (announcement.server.clone(), announcement.incarnation);
+        if self.retired.contains(&start) {
+            return true;
+        }
+        self.server.as_ref().is_some_and(|held| {
+            let known = &held.announcement;
+            let same = known.server == announcement.server;
+            if same && known.incarnation == announcement.incarnation {
+                return Some(sequence) <= held.sequence;
+            }
+            announcement.incarnation < known.incarnation
+        })
+    }
+
+    fn retire(&mut self, announcement: &Announcement) {
+        if self.retired.len() >= MAX_RETIRED {
+            self.retired.pop_front();
+        }
+        let start = (announcement.server.clone(), announcement.incarnation);
+        self.retired.push_back(start);
+    }
+
+    pub(super) fn left(
+        &mut self,
+        name: &str,
+        incarnation: Option<u64>,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let Some(server) = &mut self.server else {
+            return Vec::new();
+        };
+        let announcement = &mut server.announcement;
+        let same = incarnation.is_none_or(|start| start == announcement.incarnation);
+        if announcement.server.as_str() != name || !same {
+            return Vec::new();
+        }
+        announcement.state = ServerState::Draining;
+        let left = announcement.clone();
+        self.retire(&left);
+        let mut effects = slot_effects(self.admission.drain(now));
+        effects.push(Effect::Report);
+        effects
+    }
+
+    pub(super) fn announced(
+        &mut self,
+        announcement: &Announcement,
+        beat: Beat,
+        now: Instant,
+    ) -> Vec<Effect> {
+        if self.is_late(announcement, beat) {
+            return Vec::new();
+        }
+        let mut announcement = announcement.clone();
+        if let Some(held) = &self.server {
+            let known = &held.announcement;
+            let same = known.server == announcement.server
+                && known.incarnation == announcement.incarnation;
+            if same && known.state == ServerState::Draining && beat.sequence.is_some() {
+                // Daemons have acted on it, so one start never takes it back.
+                announcement.state = ServerState::Draining;
+            }
+        }
+        let lease_until = now + self.announce_lease;
+        let before = self.server.replace(OwnServer {
+            announcement: announcement.clone(),
+            lease_until,
+            sequence: beat.sequence,
+        });
+        if before.as_ref().map(|server| &server.announcement) == Some(&announcement) {
+            return Vec::new();
+        }
+        if let Some(before) = &before
+            && (&before.announcement.server, before.announcement.incarnation)
+                != (&announcement.server, announcement.incarnation)
+        {
+            self.retire(&before.announcement);
+        }
+        let restarted = before
+            .as_ref()
+            .is_none_or(|server| server.announcement.incarnation != announcement.incarnation);
+        let mut effects = slot_effects(self.admission.resize(announcement.slots, now));
+        if restarted && before.is_some() {
+            // It restarted before anybody saw it gone; runs of its last start are still kept.
+            effects.extend(self.count_crash(&announcement.server, now));
+        }
+        if restarted && !self.draining {
+            match beat.cold {
+                // It takes all of its slots when it says that it is slow.
+                Some(_) => self.admission.reopen(),
+                None => self.admission.cold_start(now),
+            }
+        }
+        if announcement.state == ServerState::Draining || self.draining {
+            effects.extend(slot_effects(self.admission.drain(now)));
+        }
+        effects.push(Effect::Report);
+        effects
+    }
+
+    pub(super) fn server_gone(&mut self, incarnation: u64, now: Instant) -> Vec<Effect> {
+        let same = |server: &OwnServer| server.announcement.incarnation == incarnation;
+        if !self.server.as_ref().is_some_and(same) {
+            return Vec::new();
+        }
+        self.server = None;
+        let mut effects = slot_effects(self.admission.drain(now));
+        effects.push(Effect::Report);
+        effects
+    }
+}
--- /dev/null
+++ b/src/daemon/state/routing.rs
@@ -0,0 +1,201 @@
+//! Calls at the entry daemon: the grant, the backend server, and further sends.
+
+use {
+    super::{
+        super::{
+            decision::{no_server, route_refusal},
+            event::{CallId, Effect, Head, Target},
+        },
+        State,
+    },
+    crate::{
+        balance::Choice,
+        call::{Call, is_repeatable},
+        model::{ServerName, ServiceName},
+        refusal::{Reason, Refusal},
+        retry::{self, Budget, Decision, Failure, GiveUp},
+        routes::{Route, Snapshot},
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Services whose retries are counted; callers can only name granted ones.
+const MAX_BUDGETS: usize = 4096;
+
+impl State {
+    pub(super) fn choose(
+        &mut self,
+        head: &Head<'_>,
+        now: Instant,
+        random: u64,
+    ) -> Result<(Call, Choice), Refusal> {
+        let Some(snapshot) = &self.snapshot else {
+            let detail = "the daemon has no configuration that is recent enough";
+            return Err(Refusal::not_run(Reason::NotReady, detail));
+        };
+        let snapshot = Arc::clone(snapshot);
+        let route = self.find_route(&snapshot, head, random)?;
+        let grant = route.grant;
+        let home_region = snapshot.config().plans.get(&grant.plan);
+        let work = grant.terms.work;
+        let timeout = grant.terms.timeout_ms.map(Duration::from_millis);
+        let choice = self.balancer.pick(&route, now, random, &[]);
+        let choice = choice.ok_or_else(|| no_server(&grant.service))?;
+        let call = Call {
+            plan: grant.plan.clone(),
+            service: grant.service.clone(),
+            rank: grant.rank,
+            capacity: grant.capacity,
+            home_region: home_region.map_or_else(String::new, |plan| plan.home_region.to_string()),
+            deadline: timeout.map_or(head.deadline, |timeout| head.deadline.min(now + timeout)),
+            depth: head.depth,
+            path: grant.path.clone(),
+            work,
+            attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
+            target_ms: grant.terms.target_ms,
+            server: Some(choice.endpoint.server.clone()),
+            idempotent: is_repeatable(work, head.method),
+            idempotency_key: match work {
+                Some(_) => None,
+                None => head.idempotency_key.clone()?,
+            },
+            streamed: head.streamed,
+        };
+        Ok((call, choice))
+    }
+
+    fn find_route<'a>(
+        &mut self,
+        snapshot: &'a Snapshot,
+        head: &Head<'_>,
+        random: u64,
+    ) -> Result<Route<'a>, Refusal> {
+        match &head.target {
+            Target::Service { key, service } => {
+                let plan = snapshot.authenticate(key).ok_or_else(|| {
+                    Refusal::not_run(Reason::UnknownKey, "no plan has the key of this request")
+                })?;
+                let route = snapshot.route_to(plan, service, head.path);
+                route.map_err(|e| route_refusal(e, plan.as_str(), service))
+            }
+            Target::Plan(plan) => {
+                let grants = snapshot.grants_at(plan, head.path);
+                let Some(grant) = self.splits.choose(&grants, random) else {
+                    let detail = format!("plan {plan} has no grant for path {}", head.path);
+                    return Err(Refusal::not_run(Reason::NoGrant, detail));
+                };
+                let route = snapshot.route_of(grant);
+                route.map_err(|e| route_refusal(e, plan, &grant.service))
+            }
+        }
+    }
+
+    /// Budget of the retries to one service: a service that fails must not use up the others'.
+    pub(super) fn budget_of(&mut self, service: &ServiceName, now: Instant) -> &mut Budget {
+        if !self.budgets.contains_key(service) && self.budgets.len() >= MAX_BUDGETS {
+            self.budgets.clear();
+        }
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| Budget::new(now))
+    }
+
+    pub(super) fn retry(
+        &mut self,
+        id: CallId,
+        call: &Call,
+        retry: &retry::Call,
+        failure: Failure,
+        now: Instant,
+        random: u64,
+    ) -> Effect {
+        let mut retry = retry.clone();
+        retry.elsewhere = self.takes_elsewhere(call, &retry.tried, now);
+        match retry::decide(
+            &failure,
+            &retry,
+            self.budget_of(&call.service, now),
+            now,
+            random,
+        ) {
+            Decision::GiveUp(reason) => Effect::GiveUp { id, reason },
+            Decision::Retry {
+                not_before,
+                exclude,
+            } => {
+                // The grant may have gone since the first attempt.
+                let route = self.snapshot.as_ref().and_then(|snapshot| {
+                    let (plan, path) = (&call.plan, call.path.as_str());
+                    snapshot.route_to(plan, &call.service, path).ok()
+                });
+                // A lost connection may have been at fault, so the only server is tried again.
+                let choice = route.and_then(|route| {
+                    let other = self.balancer.pick(&route, now, random, &exclude);
+                    other.or_else(|| self.balancer.pick(&route, now, random, &[]))
+                });
+                match choice {
+                    Some(choice) => Effect::Forward {
+                        id,
+                        call: Box::new(Call {
+                            server: Some(choice.endpoint.server.clone()),
+                            ..call.clone()
+                        }),
+                        choice,
+                        not_before,
+                    },
+                    None => Effect::GiveUp {
+                        id,
+                        reason: GiveUp::Cause,
+                    },
+                }
+            }
+        }
+    }
+
+    /// Whether a server that was not tried is expected to take the call at once.
+    fn takes_elsewhere(&self, call: &Call, tried: &[ServerName], now: Instant) -> bool {
+        let route = self.snapshot.as_ref().and_then(|snapshot| {
+            let (plan, path) = (&call.plan, call.path.as_str());
+            snapshot.route_to(plan, &call.service, path).ok()
+        });
+        route.is_some_and(|route| {
+            self.balancer
+                .has_usable(route.candidates, call.rank, tried, now)
+        })
+    }
+
+    /// Chooses a second server for a call whose answer is late.
+    pub(super) fn hedge(
+        &mut self,
+        id: CallId,
+        call: &Call,
+        tried: &[ServerName],
+        now: Instant,
+        random: u64,
+    ) -> Effect {
+        let give_up = |reason| Effect::GiveUp { id, reason };
+        if !self.budget_of(&call.service, now).take_spare(now) {
+            return give_up(GiveUp::Budget);
+        }
+        let route = self.snapshot.as_ref().and_then(|snapshot| {
+            let (plan, path) = (&call.plan, call.path.as_str());
+            snapshot.route_to(plan, &call.service, path).ok()
+        });
+        let choice = route.and_then(|route| self.balancer.pick(&route, now, random, tried));
+        let Some(choice) = choice else {
+            return give_up(GiveUp::Cause);
+        };
+        let server = Some(choice.endpoint.server.clone());
+        Effect::Forward {
+            id,
+            call: Box::new(Call {
+                server,
+                ..call.clone()
+            }),
+            choice,
+            not_before: now,
+        }
+    }
+}
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -5,6 +5,7 @@
 //! only that service.
 
 use {
+    self::paths::{Paths, prefixes},
     crate::model::{
         Config, Digest, Endpoint, Grant, PathPrefix, PlanName, ServerName, ServerState, ServiceName,
     },
@@ -14,6 +15,7 @@
 };
 
 mod candidates;
+mod paths;
 #[cfg(test)]
 mod tests;
 
@@ -129,8 +131,6 @@
     Ok(candidates)
 }
 
-type Paths = HashMap<PlanName, HashMap<PathPrefix, Vec<usize>>>;
-
 /// Borrowed form of `GrantKey`, so that a lookup allocates nothing.
 #[derive(Hash)]
 struct GrantRef<'a> {
@@ -375,13 +375,6 @@
 }
 
 /// Grants of `service`, by the index that `Snapshot` keeps.
-/// Prefixes of a path that end with a slash, the longest first.
-fn prefixes(path: &str) -> impl Iterator<Item = &str> {
-    let path = path.split(['?', '#']).next().unwrap_or_default();
-    let slashes = path.rmatch_indices('/');
-    slashes.map(move |(at, _)| &path[..=at])
-}
-
 fn grants_of<'a>(
     config: &'a Config,
     index: &'a HashMap<ServiceName, Vec<usize>>,
--- a/tests/joining.rs
+++ b/tests/joining.rs
@@ -31,7 +31,7 @@
          tolerated_losses: {losses}\n"
     );
     let mut cfg = settings::Control::parse(Path::new("control.yaml"), &text).unwrap();
-    cfg.data_folder = folder.to_owned();
+    folder.clone_into(&mut cfg.data_folder);
     cfg.operators = vec![Operator {
         name: "test".to_owned(),
         token_hash: Digest::of(TOKEN.as_bytes()),
