--- a/tests/platform_interface.rs
+++ b/tests/platform_interface.rs
@@ -122,7 +122,7 @@
     assert_eq!(answer.headers()["Anvilbeam-Response-Signature"], "s.r-1");
     assert_eq!(answer.body(), "answer to r-1");
     let runs = platform.upstream.runs_of("/unsafe/ok?x=1");
-    let [head] = &runs[..] else {
+    let [head] = &*runs else {
         panic!("runs: {runs:?}");
     };
     assert!(head.starts_with("POST /unsafe/ok?x=1 "), "{head}");
