Flood a grant for sure in its capacity test; test direct subscriptions

Cause: under load the test saw no refusal: 24 callers at 50 calls/s wait 0.48 s in the mean, and a call may wait up to 1 s for a share, so refusals depended on an uneven split.

Change: 96 callers exceed the capacity by Little's law; all bounds stay. Two tests of the direct subscription: all control replicas are asked within 2 s, and unconfirmed leaders are not followed.

--- a/src/relays/tests.rs
+++ b/src/relays/tests.rs
@@ -309,3 +309,53 @@
         }
     }
 }
+
+/// Guards against a daemon that waits for seconds between two control replicas after its parent is
+/// gone; a version must be in force within 2 s of its acceptance where control can be reached.
+#[test]
+fn a_direct_daemon_asks_all_control_replicas_within_two_seconds() {
+    const REPLICAS: u32 = 5;
+    let start = Instant::now();
+    for seed in 0..50 {
+        let mut uplink = Uplink::new(member(1, 0), 1, REPLICAS, start).direct();
+        let mut asked = Vec::new();
+        for tick in 0..20 {
+            let now = start + Duration::from_millis(100 * tick);
+            for effect in uplink.step(now, seed * 1_000 + tick, Event::Tick) {
+                let Effect::AskControl { control, .. } = effect else {
+                    continue;
+                };
+                asked.push(control);
+                let reply = Some(AttachReply::NotLeader { leader: None });
+                uplink.step(now, seed, Event::Attach { control, reply });
+            }
+        }
+        let all = (0..REPLICAS).all(|control| asked.contains(&control));
+        assert!(all, "seed {seed}: asked {asked:?}");
+    }
+}
+
+/// Guards against a daemon that takes versions from a leader that was cut off from its group.
+#[test]
+fn a_direct_daemon_follows_confirmed_leaders_only() {
+    let start = Instant::now();
+    let mut uplink = Uplink::new(member(1, 0), 1, 3, start).direct();
+    let later = start + Duration::from_secs(1);
+    let asked = uplink.step(later, 1, Event::Tick);
+    let Some(Effect::AskControl { control, .. }) = asked.first() else {
+        panic!("control is not asked: {asked:?}");
+    };
+    let attached = Attached {
+        parent: Parent::Control,
+        role: Role::RegionRelay {
+            epoch: Epoch::granted(1, 1),
+        },
+        floor: None,
+        term: 1,
+    };
+    let reply = Some(AttachReply::Attached(attached));
+    let control = *control;
+    let effects = uplink.step(later, 2, Event::Attach { control, reply });
+    let follows = |effect: &Effect| matches!(effect, Effect::SubscribeControl { .. });
+    assert!(!effects.iter().any(follows), "{effects:?}");
+}
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -15,8 +15,9 @@
 const CAPACITY: u32 = 50;
 /// Time for which all daemons are called without a pause.
 const FLOOD: Duration = Duration::from_secs(4);
-/// Callers at each daemon.
-const CALLERS: usize = 8;
+/// Callers at each daemon. A call waits up to a second for a share, so more than 50 callers in all
+/// are needed to exceed the capacity for sure.
+const CALLERS: usize = 32;
 
 /// Guards against daemons that each let the whole capacity of a grant through, and against
 /// refusals that do not say that the call did not run.
