End the streams of a leader that stepped down, and eject unreachable servers sooner

The task that watched a stream to a child kept its sender, so a stream that control closed stayed open until the child's silence timeout. Change 1: the watch ends when the stream is closed, and with it the stream. The new test of tree_wire hangs on the code before.

Change 2: a server that can't be reached is ejected after three failures in a row, without a comparison with its peers.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -203,17 +203,26 @@
         if choice.probe {
             return self.judge_probe(endpoint, failed, latency, now);
         }
-        self.judge(endpoint, failed, now)
+        let unreachable = outcome == Outcome::Unreachable;
+        self.judge(endpoint, failed, unreachable, now)
     }
 
     /// Ejects a server whose calls fail or are slow while those of its peers are not.
-    fn judge(&mut self, endpoint: &Endpoint, failed: bool, now: Instant) -> Option<Change> {
+    fn judge(
+        &mut self,
+        endpoint: &Endpoint,
+        failed: bool,
+        unreachable: bool,
+        now: Instant,
+    ) -> Option<Change> {
         let health = self.servers.get(&endpoint.server)?;
         if health.ejected_until().is_some() || !health.is_suspicious(failed) {
             return None;
         }
         let peers = self.peers(endpoint);
-        let cause = if failed && health.fails_against(&peers) {
+        // A server that can't be reached needs no comparison: its peers don't share the cause.
+        let lost = unreachable && health.has_streak();
+        let cause = if lost || failed && health.fails_against(&peers) {
             Cause::Failing
         } else if peers.are_faster_than(health.latency()) {
             Cause::Slow
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -28,7 +28,7 @@
 const MIN_RELIABILITY: f64 = 0.005;
 /// Failures in a row that raise a suspicion.
 const STREAK: u32 = 3;
-/// Failures above the better peers' share that eject a server.
+/// Failures above the median peer's share that eject a server.
 const FAILURE_MARGIN: f64 = 0.35;
 /// Factor over the better peers' latency that counts as slow by far.
 const SLOW_FACTOR: f64 = 5.0;
@@ -247,6 +247,11 @@
         slow && self.samples >= SLOW_SAMPLES && self.samples.is_multiple_of(4)
     }
 
+    /// Whether the last calls all failed.
+    pub(super) const fn has_streak(&self) -> bool {
+        self.streak >= STREAK
+    }
+
     pub(super) fn fails_against(&self, peers: &Peers) -> bool {
         self.failures > peers.failures + FAILURE_MARGIN
     }
@@ -341,8 +346,9 @@
     (-(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64())).exp2()
 }
 
-/// The better peers of a server: the lower quartile, so that a majority of bad peers does not hide
-/// a bad server, while a fault common to all ejects nobody.
+/// The peers of a server. Its failures are compared with the median, since a fault common to all is
+/// seen in unequal parts, and its latency with the lower quartile, so that a majority of slow peers
+/// does not hide a slow server.
 #[derive(Debug)]
 pub(super) struct Peers {
     failures: f64,
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -272,7 +272,7 @@
         let Some(root) = &mut content.root else {
             return peer::status(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let (response, tx) = self.streams.open(&child, stream);
+        let (response, lifetime) = self.streams.open(&child, stream);
         let reply = root.children.subscribe(req, LEVEL, Instant::now());
         drop(content);
         let accepted = reply == SubscribeReply::Accepted;
@@ -284,7 +284,7 @@
         self.serve();
         let tree = Arc::clone(self);
         tokio::spawn(async move {
-            tx.closed().await;
+            lifetime.end().await;
             tree.streams.close(&child, stream);
             if let Some(root) = &mut tree.content().root {
                 root.children.lost(&child, stream);
--- a/src/daemon/capacity.rs
+++ b/src/daemon/capacity.rs
@@ -236,9 +236,9 @@
     req: OpenShares,
     closed: impl FnOnce(&DaemonName, u64) + Send + 'static,
 ) -> Response<Body> {
-    let (response, tx) = children.open(&req.daemon, req.stream);
+    let (response, lifetime) = children.open(&req.daemon, req.stream);
     tokio::spawn(async move {
-        tx.closed().await;
+        lifetime.end().await;
         closed(&req.daemon, req.stream);
     });
     response
--- a/src/daemon/tree/answering.rs
+++ b/src/daemon/tree/answering.rs
@@ -41,11 +41,11 @@
 
     fn open(self: &Arc<Self>, req: Subscribe) -> Response<Body> {
         let (child, stream) = (req.daemon.clone(), req.stream);
-        let (response, tx) = self.children.open(&child, stream);
+        let (response, lifetime) = self.children.open(&child, stream);
         self.step(Event::Subscribe(req));
         let tree = Arc::clone(self);
         tokio::spawn(async move {
-            tx.closed().await;
+            lifetime.end().await;
             tree.children.close(&child, stream);
             tree.step(Event::ChildLost { child, stream });
         });
--- a/src/tree_wire.rs
+++ b/src/tree_wire.rs
@@ -1,5 +1,8 @@
 //! How the messages of the distribution tree travel: paths, frames and the streams to children.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{
         body::{self, Body},
@@ -18,7 +21,7 @@
             atomic::{AtomicU64, Ordering},
         },
     },
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
 };
 
 /// Path that asks control for a parent.
@@ -73,6 +76,27 @@
 struct Stream {
     number: u64,
     tx: mpsc::Sender<Bytes>,
+    /// Dropped with the stream, which ends its [`Lifetime`].
+    _open: oneshot::Sender<()>,
+}
+
+/// Watches one stream to a child.
+#[derive(Debug)]
+pub struct Lifetime {
+    tx: mpsc::Sender<Bytes>,
+    closed: oneshot::Receiver<()>,
+}
+
+impl Lifetime {
+    /// Waits until the child is gone or the stream is closed here. The child then sees the end of
+    /// the stream at once; otherwise it would wait for its parent's silence.
+    pub async fn end(self) {
+        let Self { tx, closed } = self;
+        tokio::select! {
+            () = tx.closed() => {}
+            _ = closed => {}
+        }
+    }
 }
 
 /// Open streams to children.
@@ -84,14 +108,16 @@
 
 impl ChildStreams {
     /// Opens a stream and returns the response that carries it, and a sender that notices its end.
-    pub fn open(&self, child: &DaemonName, number: u64) -> (Response<Body>, mpsc::Sender<Bytes>) {
+    pub fn open(&self, child: &DaemonName, number: u64) -> (Response<Body>, Lifetime) {
         let (tx, streamed) = body::channel(QUEUE);
+        let (open, closed) = oneshot::channel();
         let stream = Stream {
             number,
             tx: tx.clone(),
+            _open: open,
         };
         self.streams().insert(child.clone(), stream);
-        (Response::new(streamed), tx)
+        (Response::new(streamed), Lifetime { tx, closed })
     }
 
     /// Sends a frame on the stream of a child. A child that does not read is cut off; it
