Close the tree of a replica that has ended

Change: the tree of a replica that has ended closes its streams and stops, as does the task that tends the membership.

--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -44,6 +44,9 @@
     let mut led_until = Instant::now();
     loop {
         sleep(INTERVAL).await;
+        if replica.handle.has_stopped() {
+            return;
+        }
         let now = Instant::now();
         let status = replica.handle.status();
         if status.role == Role::Leader {
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -151,6 +151,12 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            if self.handle.has_stopped() {
+                // The last status may be that of a leader, whom daemons would go on to follow.
+                self.content().root = None;
+                self.streams.close_all();
+                return;
+            }
             self.follow_leadership();
             self.serve();
         }
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -233,7 +233,12 @@
             .map(|_empty| ())
     }
 
-    /// State of the replica after its last batch.
+    /// Whether the replica has ended; its last status stays as it was.
+    pub fn has_stopped(&self) -> bool {
+        self.status.has_changed().is_err()
+    }
+
+    /// What the replica last said of itself.
     pub fn status(&self) -> Status {
         self.status.borrow().clone()
     }
