Keep uploads in their data centre while their answer comes in time

Change: a call with a large body leaves its data centre only when it would be late there, and its region only when no server is left there.

--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -178,7 +178,7 @@
         let random = rng.random();
         let candidates = Candidates::new(&here(), &servers);
         let choice = ours
-            .then(|| balancer.pick_from(&candidates, Rank::Normal, at, random, &[]))
+            .then(|| balancer.pick_from(&candidates, Wanted::small(Rank::Normal), at, random, &[]))
             .flatten();
         let server = match &choice {
             Some(choice) => {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,7 +27,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use pick::PROBE_SHARE;
+pub use pick::{PROBE_SHARE, Wanted};
 
 /// How a call ended, as far as it tells about the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,12 +89,12 @@
 /// State of the choice among backend servers.
 ///
 /// ```
-/// use anvilbeam::{balance::Balancer, model::{DataCentre, Region}, routes::{Candidates, Location}};
+/// use anvilbeam::{balance::{Balancer, Wanted}, model::{DataCentre, Region}, routes::{Candidates, Location}};
 /// use anvilbeam::model::Rank;
 /// let here = Location { data_centre: DataCentre::from("a1"), region: Region::from("a") };
 /// let none = Candidates::new(&here, &[]);
 /// let mut balancer = Balancer::default();
-/// let choice = balancer.pick_from(&none, Rank::Normal, std::time::Instant::now(), 7, &[]);
+/// let choice = balancer.pick_from(&none, Wanted::small(Rank::Normal), std::time::Instant::now(), 7, &[]);
 /// assert!(choice.is_none());
 /// ```
 #[derive(Debug, Default)]
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -7,10 +7,13 @@
         health::Health,
     },
     crate::{
-        model::{Endpoint, Rank, ServerName},
+        model::{Endpoint, Grant, Rank, ServerName, Work},
         routes::{Candidates, Distance, Route},
     },
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     strum::IntoEnumIterator,
 };
 
@@ -48,16 +51,67 @@
 /// again.
 const RETURN_SHARE: f64 = 0.03;
 
+/// Time within which the answer to a large body is wanted where its grant names none: uploads are
+/// rarely waited for.
+const BULK_TARGET: Duration = Duration::from_secs(1);
+
+/// Distances of the own region.
+const REGION: [Distance; 2] = [Distance::OwnDataCentre, Distance::OwnRegion];
+
 const TIERS: [Tier; 4] = [Tier::Usable, Tier::Full, Tier::Refusing, Tier::Ejected];
 
 /// What a pick is made for.
 struct Call<'a> {
     candidates: &'a Candidates,
-    rank: Rank,
+    wanted: Wanted,
     now: Instant,
     exclude: &'a [ServerName],
 }
 
+/// What the choice depends on apart from the servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// Rank of the call.
+    pub rank: Rank,
+    /// For a call with a large body, the time within which its answer is wanted. Its bytes cost
+    /// more on their way than an early answer is worth, so it leaves its data centre only when it
+    /// would be later than this, and its region only when no server is left there.
+    pub bulk: Option<Duration>,
+}
+
+impl Wanted {
+    /// A call of `rank` with a small body.
+    ///
+    /// ```
+    /// use anvilbeam::{balance::Wanted, model::Rank};
+    /// assert!(Wanted::small(Rank::Low).bulk.is_none());
+    /// ```
+    pub const fn small(rank: Rank) -> Self {
+        Self { rank, bulk: None }
+    }
+
+    fn of(grant: &Grant) -> Self {
+        let bulk = (grant.terms.work == Some(Work::Upload)).then(|| {
+            let target = grant.terms.target_ms.map(Duration::from_millis);
+            target.unwrap_or(BULK_TARGET)
+        });
+        Self {
+            rank: grant.rank,
+            bulk,
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Whether a call that is expected to be answered after `expected` seconds nearby may go to
+    /// another group.
+    fn may_leave(&self, expected: f64, distance: Distance) -> bool {
+        self.wanted.bulk.is_none_or(|target| {
+            expected > target.as_secs_f64() && distance != Distance::OtherRegion
+        })
+    }
+}
+
 /// Expected answer of the best server of a group, in seconds.
 struct Best<'a> {
     endpoint: &'a Arc<Endpoint>,
@@ -95,21 +149,27 @@
         random: u64,
         exclude: &[ServerName],
     ) -> Option<Choice> {
-        self.pick_from(route.candidates, route.grant.rank, now, random, exclude)
+        self.pick_from(
+            route.candidates,
+            Wanted::of(route.grant),
+            now,
+            random,
+            exclude,
+        )
     }
 
     /// As `pick`, with the parts of the route.
     pub fn pick_from(
         &mut self,
         candidates: &Candidates,
-        rank: Rank,
+        wanted: Wanted,
         now: Instant,
         random: u64,
         exclude: &[ServerName],
     ) -> Option<Choice> {
         let call = Call {
             candidates,
-            rank,
+            wanted,
             now,
             exclude,
         };
@@ -121,31 +181,39 @@
             return Some(Choice {
                 endpoint,
                 distance,
-                rank,
+                rank: wanted.rank,
                 probe: false,
             });
         }
-        if self.leaves_data_centre(&call, &mut draws) {
+        if wanted.bulk.is_some() {
+            let region = self.pick_among(&call, &REGION, &mut draws);
+            if region.is_some() {
+                return region;
+            }
+        } else if self.leaves_data_centre(&call, &mut draws) {
             let region = self.pick_at(&call, Tier::Usable, Distance::OwnRegion, &mut draws);
             if region.is_some() {
                 return region;
             }
         }
+        let distances: Vec<_> = Distance::iter().collect();
+        self.pick_among(&call, &distances, &mut draws)
+    }
+
+    /// Chooses among the groups at `distances`, the most willing servers first.
+    fn pick_among(
+        &mut self,
+        call: &Call<'_>,
+        distances: &[Distance],
+        draws: &mut Draws,
+    ) -> Option<Choice> {
         // Most calls end in the first round: the nearest group with a usable server.
-        for tier in TIERS {
-            for distance in Distance::iter() {
-                let found = self.pick_at(&call, tier, distance, &mut draws);
-                if found.is_some() {
-                    return found;
-                }
-            }
-        }
-        None
+        TIERS.into_iter().find_map(|tier| {
+            let mut groups = distances.iter();
+            groups.find_map(|distance| self.pick_at(call, tier, *distance, draws))
+        })
     }
 
-    /// Whether a call tries the other data centres of the region first: a small share always does,
-    /// and more while the servers of the own data centre are cold, or slow start would not hold
-    /// where a server is alone in its data centre.
     /// A server that is expected to answer much earlier than the best one of the nearest group that
     /// has any, by the loads that owner daemons reported.
     fn relief(&self, call: &Call<'_>) -> Option<(Distance, Arc<Endpoint>)> {
@@ -157,7 +225,11 @@
             let best = self.best(call, distance, Some(near.service_time))?;
             let answer = best.completion + travel(distance);
             let worth = answer < expected * relief_share(distance);
-            worth.then_some((answer, distance, best.endpoint))
+            (worth && call.may_leave(expected, distance)).then_some((
+                answer,
+                distance,
+                best.endpoint,
+            ))
         });
         let (_, distance, endpoint) = others.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some((distance, Arc::clone(endpoint)))
@@ -174,7 +246,7 @@
         let group = call.candidates.group(distance).iter();
         let usable = group.filter_map(|endpoint| {
             let health = self.servers.get(&endpoint.server)?;
-            let usable = health.tier(call.rank, call.now) == Tier::Usable;
+            let usable = health.tier(call.wanted.rank, call.now) == Tier::Usable;
             let excluded = call.exclude.contains(&endpoint.server);
             (usable && !excluded).then_some((endpoint, health))
         });
@@ -189,6 +261,9 @@
         best.min_by(|a, b| a.completion.total_cmp(&b.completion))
     }
 
+    /// Whether a call tries the other data centres of the region first: a small share always does,
+    /// and more while the servers of the own data centre are cold, or slow start would not hold
+    /// where a server is alone in its data centre.
     fn leaves_data_centre(&self, call: &Call<'_>, draws: &mut Draws) -> bool {
         let known = |distance| {
             let group = call.candidates.group(distance).iter();
@@ -226,7 +301,7 @@
         Some(Choice {
             endpoint,
             distance,
-            rank: call.rank,
+            rank: call.wanted.rank,
             probe,
         })
     }
@@ -247,7 +322,7 @@
             if tier == Tier::Usable && health.wants_probe(now) {
                 self.probing.push(at);
             }
-            if health.tier(call.rank, now) == tier {
+            if health.tier(call.wanted.rank, now) == tier {
                 self.scored.push(Scored {
                     at,
                     weight: health.weight(now),
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -182,9 +182,13 @@
                 let only: Vec<_> = only.filter(|e| e.server == name(server)).collect();
                 let only = Candidates::new(&here(), &only);
                 for random in 0..8 {
-                    let choice = test
-                        .balancer
-                        .pick_from(&only, Rank::Normal, now, random, &[]);
+                    let choice = test.balancer.pick_from(
+                        &only,
+                        Wanted::small(Rank::Normal),
+                        now,
+                        random,
+                        &[],
+                    );
                     if let Some(choice) = choice {
                         let latency = Duration::from_millis(1);
                         test.balancer
@@ -230,9 +234,13 @@
             .filter(|e| e.state == ServerState::Serving && !excluded.contains(&e.server))
             .collect();
         let candidates = Candidates::new(&here(), &endpoints);
-        let choice = self
-            .balancer
-            .pick_from(&candidates, Rank::Normal, now, random, &excluded);
+        let choice = self.balancer.pick_from(
+            &candidates,
+            Wanted::small(Rank::Normal),
+            now,
+            random,
+            &excluded,
+        );
         match choice {
             Some(choice) => {
                 assert!(allowed.contains(&&choice.endpoint), "picked {choice:?}");
--- a/src/balance/tests/policy.rs
+++ b/src/balance/tests/policy.rs
@@ -16,7 +16,7 @@
     for call in calls {
         let now = start + Duration::from_millis(call * 10);
         let random = call.wrapping_mul(0x2545_f491_4f6c_dd1d);
-        let choice = balancer.pick_from(&candidates, Rank::Normal, now, random, &[]);
+        let choice = balancer.pick_from(&candidates, Wanted::small(Rank::Normal), now, random, &[]);
         let choice = choice.expect("a server serves");
         let (outcome, millis) = answer(&choice.endpoint.server);
         *counts.entry(choice.endpoint.server.clone()).or_insert(0) += 1;
@@ -220,7 +220,7 @@
     let mut balancer = synced(&servers, now);
     let candidates = Candidates::new(&here(), &servers);
     for random in 0..4 {
-        let choice = balancer.pick_from(&candidates, Rank::Low, now, random, &[]);
+        let choice = balancer.pick_from(&candidates, Wanted::small(Rank::Low), now, random, &[]);
         let choice = choice.expect("a server serves");
         let retry_after = Duration::from_secs(1);
         balancer.outcome(
@@ -231,7 +231,7 @@
         );
     }
     let mut distance = |rank, now| {
-        let choice = balancer.pick_from(&candidates, rank, now, 7, &[]);
+        let choice = balancer.pick_from(&candidates, Wanted::small(rank), now, 7, &[]);
         choice.expect("a server serves").distance
     };
     assert_eq!(distance(Rank::Low, now), Distance::OtherRegion);
--- a/src/balance/tests/relief.rs
+++ b/src/balance/tests/relief.rs
@@ -20,7 +20,7 @@
     let candidates = Candidates::new(&here(), &endpoints);
     let picks = (0..RANDOMS).filter(|n| {
         let random = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let choice = balancer.pick_from(&candidates, Rank::Normal, now, random, &[]);
+        let choice = balancer.pick_from(&candidates, Wanted::small(Rank::Normal), now, random, &[]);
         let choice = choice.expect("there are candidates");
         balancer.outcome(&choice, Outcome::Succeeded, Duration::from_millis(40), now);
         choice.endpoint.server == name(server)
@@ -69,8 +69,39 @@
     let endpoints = [endpoint(0, 1, false)];
     let only = Candidates::new(&here(), &endpoints);
     for _ in 0..3 {
-        balancer.pick_from(&only, Rank::Normal, now, 7, &[]);
+        balancer.pick_from(&only, Wanted::small(Rank::Normal), now, 7, &[]);
     }
     let later = now + Duration::from_millis(900);
     assert!(picks_of(&mut balancer, &[0, 2], 2, later) > RANDOMS * 9 / 10);
 }
+
+/// Guards against large bodies that travel between data centres though they can be answered in
+/// time where they are; their bytes are billed.
+#[test]
+fn a_large_body_stays_while_its_answer_comes_in_time() {
+    let start = Instant::now();
+    let now = start + Duration::from_mins(1);
+    let among = [0, 2, 4];
+    let mut balancer = known(&among, start);
+    let endpoints: Vec<_> = among.iter().map(|n| endpoint(*n, 1, false)).collect();
+    let candidates = Candidates::new(&here(), &endpoints);
+    let mut goes_to = |waiting, exclude: &[ServerName]| {
+        balancer.report(&endpoint(0, 1, false), &load(waiting, 40), now);
+        let wanted = Wanted {
+            rank: Rank::Normal,
+            bulk: Some(Duration::from_millis(300)),
+        };
+        let choice = balancer.pick_from(&candidates, wanted, now, 7, exclude);
+        let choice = choice.expect("there are candidates");
+        balancer.outcome(&choice, Outcome::Neutral, Duration::ZERO, now);
+        choice.endpoint.server.clone()
+    };
+    assert_eq!(goes_to(20, &[]), name(0), "late, but in time");
+    assert_ne!(goes_to(60, &[]), name(0), "too late");
+    assert_eq!(goes_to(60, &[name(2)]), name(0), "not to another region");
+    assert_eq!(
+        goes_to(0, &[name(0), name(2)]),
+        name(4),
+        "nobody else is left"
+    );
+}
