Let late calls give way to those that can still be in time

Change: the time at which an answer is wanted travels with the call; a call whose turn comes when it would be later gives way to all that can be in time, and starts when none of them waits. Nothing is refused that was not before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,6 +5,10 @@
 //! Service times are measured for each rank and plan. A call that is not expected to end by
 //! its deadline is refused on arrival or when its turn comes.
 //!
+//! A call whose turn comes when its answer would be later than wanted gives way to all that can
+//! still be in time, and starts when none of them waits. In overload a queue in plain order
+//! answers nearly every call late.
+//!
 //! No slot is idle while a call waits, with one exception: calls below the urgent rank that
 //! are expected to hold their slot for a second or more hold at most three quarters of the
 //! slots together. Otherwise long uploads could hold every slot for minutes, since a started
@@ -58,6 +62,8 @@
     pub weight: u32,
     /// When the answer is due.
     pub deadline: Instant,
+    /// When the answer is wanted, if that is before the deadline.
+    pub wanted: Option<Instant>,
 }
 
 /// How a started call ended.
@@ -108,6 +114,7 @@
     rank: Rank,
     plan: PlanName,
     deadline: Instant,
+    wanted: Option<Instant>,
     cost_ns: u64,
     state: State,
 }
@@ -117,6 +124,10 @@
     Waiting {
         seq: u64,
     },
+    /// Waits for a slot that no call wants that can still be in time.
+    Overdue {
+        seq: u64,
+    },
     Running {
         since: Instant,
         long: bool,
@@ -142,6 +153,7 @@
 ///     plan: &plan,
 ///     weight: 100,
 ///     deadline: now + Duration::from_secs(1),
+///     wanted: None,
 /// };
 /// let mut admission = Admission::new(1);
 /// assert_eq!(admission.arrive(&call(1), now), [Effect::Start(1)]);
@@ -156,6 +168,8 @@
     calls: HashMap<u64, Entry>,
     /// Waiting calls by deadline.
     expiry: BTreeSet<(Instant, u64)>,
+    /// Calls whose answer would be later than wanted, in the order in which they start.
+    overdue: BTreeSet<(Rank, u64, u64)>,
     /// Running calls below the urgent rank by the time at which they count as long.
     aging: BTreeSet<(Instant, u64)>,
     running: u32,
@@ -175,6 +189,7 @@
             ranks: Default::default(),
             calls: HashMap::new(),
             expiry: BTreeSet::new(),
+            overdue: BTreeSet::new(),
             aging: BTreeSet::new(),
             running: 0,
             long: 0,
@@ -214,12 +229,15 @@
 
     /// Calls of `rank` that wait.
     pub fn waiting_of(&self, rank: Rank) -> usize {
-        self.ranks[rank.index()].waiting()
+        let overdue = self.overdue.iter().filter(|(of, ..)| *of == rank);
+        self.ranks[rank.index()].waiting() + overdue.count()
     }
 
     /// Whether a waiting call could start now if a slot were free.
     pub fn has_startable(&self, now: Instant) -> bool {
-        Rank::iter().any(|rank| self.ranks[rank.index()].has_ready(self.allows_long(rank, now)))
+        let mut ranks = Rank::iter();
+        ranks.any(|rank| self.ranks[rank.index()].has_ready(self.allows_long(rank, now)))
+            || !self.overdue.is_empty()
     }
 
     /// When [`Admission::tick`] is due, if anything waits or ages.
@@ -270,7 +288,7 @@
         self.advance(now, &mut effects);
         if let Some(entry) = self.calls.get(&id) {
             match entry.state {
-                State::Waiting { .. } => drop(self.take_waiting(id)),
+                State::Waiting { .. } | State::Overdue { .. } => drop(self.take_waiting(id)),
                 // A call that was given up after more than the mean shows a slow server.
                 State::Running { .. } => {
                     self.release(id, now, |held, mean| held.as_secs_f64() > mean);
@@ -300,7 +318,9 @@
         self.advance(now, &mut effects);
         self.draining = true;
         let waiting: Vec<u64> = self.ranks.iter_mut().flat_map(RankQueue::drain).collect();
-        for id in waiting {
+        let overdue = std::mem::take(&mut self.overdue);
+        let overdue = overdue.into_iter().map(|(.., id)| id);
+        for id in waiting.into_iter().chain(overdue) {
             self.calls.remove(&id);
             effects.push(Effect::Refuse {
                 id,
--- a/src/admission/schedule.rs
+++ b/src/admission/schedule.rs
@@ -65,6 +65,8 @@
             };
             if self.would_be_late(id, now) {
                 self.refuse(id, Reason::TooLate, now, effects);
+            } else if self.misses_wanted(id, now) {
+                self.put_behind(id);
             } else {
                 self.start(id, now);
                 effects.push(Effect::Start(id));
@@ -86,6 +88,7 @@
                 rank: call.rank,
                 plan: call.plan.clone(),
                 deadline: call.deadline,
+                wanted: call.wanted,
                 cost_ns,
                 state: State::Waiting { seq },
             },
@@ -115,11 +118,16 @@
     /// Takes a waiting call out of all queues.
     pub(super) fn take_waiting(&mut self, id: u64) -> Option<Entry> {
         let entry = self.calls.remove(&id)?;
-        let State::Waiting { seq } = entry.state else {
-            self.calls.insert(id, entry);
-            return None;
-        };
-        self.ranks[entry.rank.index()].remove(&entry.plan, seq, entry.cost_ns);
+        match entry.state {
+            State::Waiting { seq } => {
+                self.ranks[entry.rank.index()].remove(&entry.plan, seq, entry.cost_ns);
+            }
+            State::Overdue { seq } => drop(self.overdue.remove(&(entry.rank, seq, id))),
+            State::Running { .. } => {
+                self.calls.insert(id, entry);
+                return None;
+            }
+        }
         self.expiry.remove(&(entry.deadline, id));
         Some(entry)
     }
@@ -195,6 +203,7 @@
         first(|queue, floor| f64::from(queue.running) + 1.0 <= floor)
             .or_else(|| first(has_floor_fraction))
             .or_else(|| first(|_, _| true))
+            .or_else(|| self.overdue.first().map(|(.., id)| *id))
     }
 
     fn head(&self, rank: Rank, now: Instant) -> Option<u64> {
@@ -306,6 +315,33 @@
         wait.as_secs_f64() + margin <= left
     }
 
+    /// Whether a call in the queue of its rank is expected to end later than wanted if it started
+    /// now.
+    fn misses_wanted(&self, id: u64, now: Instant) -> bool {
+        let Some(entry) = self.calls.get(&id) else {
+            return false;
+        };
+        let (Some(wanted), State::Waiting { .. }) = (entry.wanted, entry.state) else {
+            return false;
+        };
+        let left = wanted.saturating_duration_since(now).as_secs_f64();
+        let estimate = self.ranks[entry.rank.index()].estimate(entry.plan.as_str());
+        left == 0.0 || estimate.median() > left
+    }
+
+    /// Moves a waiting call behind all that can still be in time.
+    fn put_behind(&mut self, id: u64) {
+        let Some(mut entry) = self.take_waiting(id) else {
+            return;
+        };
+        if let State::Waiting { seq } = entry.state {
+            entry.state = State::Overdue { seq };
+            self.overdue.insert((entry.rank, seq, id));
+            self.expiry.insert((entry.deadline, id));
+        }
+        self.calls.insert(id, entry);
+    }
+
     /// Whether a waiting call would end after its deadline if it started now.
     fn would_be_late(&self, id: u64, now: Instant) -> bool {
         let Some(entry) = self.calls.get(&id) else {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -8,6 +8,7 @@
 };
 
 mod machine;
+mod overload;
 mod scenarios;
 
 const MS: Duration = Duration::from_millis(1);
@@ -26,6 +27,7 @@
         plan: &PlanName::from(plan),
         weight: 10,
         deadline: now + left,
+        wanted: None,
     };
     admission.arrive(&call, now)
 }
--- a/src/admission/tests/machine.rs
+++ b/src/admission/tests/machine.rs
@@ -163,6 +163,7 @@
             plan: &plan,
             weight,
             deadline,
+            wanted: None,
         };
         self.admission.arrive(&call, self.now)
     }
--- a/src/admission/tests/scenarios.rs
+++ b/src/admission/tests/scenarios.rs
@@ -40,6 +40,7 @@
                     plan: &PlanName::from(*plan),
                     weight: *weight,
                     deadline: now + HOUR,
+                    wanted: None,
                 };
                 flow_of.insert(next_id, flow);
                 waiting[flow] += 1;
--- a/src/call.rs
+++ b/src/call.rs
@@ -32,6 +32,8 @@
 pub const HOME_REGION: HeaderName = HeaderName::from_static("anvilbeam-home-region");
 /// Header with the paths of the grant, between daemons.
 pub const GRANT_PATH: HeaderName = HeaderName::from_static("anvilbeam-grant-path");
+/// Header with the milliseconds until the answer is wanted, between daemons.
+pub const WANTED_MS: HeaderName = HeaderName::from_static("anvilbeam-wanted-ms");
 /// Header with the kind of work of the grant, between daemons.
 pub const WORK: HeaderName = HeaderName::from_static("anvilbeam-work");
 /// Header with the backend server that was chosen, between daemons.
@@ -115,8 +117,8 @@
     pub work: Option<Work>,
     /// Backend servers to which it may be sent.
     pub attempts: u32,
-    /// Time within which an answer is wanted, in milliseconds; only the entry daemon knows it.
-    pub target_ms: Option<u64>,
+    /// When the answer is wanted; one that comes later is worth less.
+    pub wanted: Option<Instant>,
     /// The backend server that was chosen; the owner daemon refuses the call for any other.
     pub server: Option<ServerName>,
     /// Whether a second run does no harm.
@@ -257,6 +259,10 @@
         if let Some(server) = &self.server {
             write_text(headers, SERVER, server.as_str());
         }
+        if let Some(wanted) = self.wanted {
+            let left = wanted.saturating_duration_since(now).as_millis();
+            headers.insert(WANTED_MS, (left as u64).into());
+        }
         if self.streamed {
             headers.insert(STREAMED, HeaderValue::from_static("1"));
         }
@@ -297,7 +303,10 @@
             path: optional(headers, &GRANT_PATH)?.map_or_else(PathPrefix::default, Into::into),
             // Only the entry daemon sends a call again.
             attempts: 1,
-            target_ms: None,
+            wanted: optional(headers, &WANTED_MS)?
+                .map(|_| number(&WANTED_MS, required(headers, &WANTED_MS)?))
+                .transpose()?
+                .map(|ms| now + Duration::from_millis(ms).min(MAX_TIMEOUT)),
             server: optional(headers, &SERVER)?.map(Into::into),
             idempotent: is_repeatable(work, &parts.method),
             idempotency_key: match work {
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -10,10 +10,7 @@
         pending::Pending,
     },
     crate::{balance::Choice, call::Call, events::Event as LogEvent, log_event},
-    std::{
-        pin::pin,
-        time::{Duration, Instant},
-    },
+    std::{pin::pin, time::Instant},
     tokio::{select, time::timeout_at},
 };
 
@@ -93,13 +90,14 @@
 
     /// When a call counts as late, if it may be sent to a second server.
     fn late_at(&self, call: &Call) -> Option<Instant> {
-        let target = Duration::from_millis(call.target_ms?);
+        let now = Instant::now();
+        let target = call.wanted?.saturating_duration_since(now);
         if !call.idempotent || !self.replay.is_whole() || call.attempts <= self.attempts() {
             return None;
         }
         let usual = self.shared.state().balancer().usual_latency(&call.service);
         let usual = usual.unwrap_or_default().mul_f64(USUAL_FACTOR);
-        Some(Instant::now() + target.mul_f64(HEDGE_SHARE).max(usual))
+        Some(now + target.mul_f64(HEDGE_SHARE).max(usual))
     }
 
     fn second_leg(&self, first: &Leg<'a>) -> Option<Leg<'a>> {
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -218,6 +218,7 @@
             plan: &call.plan,
             weight: call.capacity,
             deadline: call.deadline,
+            wanted: call.wanted,
         };
         slot_effects(self.admission.arrive(&arriving, now))
     }
--- a/src/daemon/state/routing.rs
+++ b/src/daemon/state/routing.rs
@@ -55,7 +55,10 @@
             path: grant.path.clone(),
             work,
             attempts: grant.terms.attempts.unwrap_or(retry::MAX_ATTEMPTS),
-            target_ms: grant.terms.target_ms,
+            wanted: grant
+                .terms
+                .target_ms
+                .map(|ms| now + Duration::from_millis(ms)),
             server: Some(choice.endpoint.server.clone()),
             idempotent: is_repeatable(work, head.method),
             idempotency_key: match work {
