Send entries again once after a cut between replicas

Each answer to a heartbeat that had waited during the cut rejected the same place, and each rejection had all entries sent again.

Change: after a rejection a leader sends one append at a time from that place and takes no notice of older rejections, until an answer shows where the logs agree.

--- a/src/raft.rs
+++ b/src/raft.rs
@@ -88,6 +88,9 @@
     heard: Instant,
     /// Last index of each unanswered append.
     in_flight: VecDeque<u64>,
+    /// Whether the last append was rejected: one append at a time is sent, from the same place,
+    /// until an answer shows where the logs agree.
+    probing: bool,
     /// Snapshot on its way: index, next offset, whether that part is unanswered.
     snapshot: Option<(u64, u64, bool)>,
 }
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -271,6 +271,7 @@
             round: 0,
             heard: now,
             in_flight: VecDeque::new(),
+            probing: false,
             snapshot: None,
         }
     }
--- a/src/raft/replicate.rs
+++ b/src/raft/replicate.rs
@@ -116,13 +116,17 @@
 
     fn send_entries(&mut self, to: &Member, peer: &mut Progress, round: u64, mut heartbeat: bool) {
         let last = self.log.last().index;
-        while heartbeat || (peer.next <= last && peer.in_flight.len() < self.cfg.appends_in_flight)
-        {
+        let limit = if peer.probing {
+            1
+        } else {
+            self.cfg.appends_in_flight
+        };
+        while heartbeat || (peer.next <= last && peer.in_flight.len() < limit) {
             let index = peer.next - 1;
             let Some(term) = self.log.term_at(index) else {
                 return;
             };
-            let window = peer.in_flight.len() < self.cfg.appends_in_flight;
+            let window = peer.in_flight.len() < limit;
             let max_bytes = self.cfg.append_bytes;
             let entries = if window {
                 self.log.slice(peer.next, max_bytes)
@@ -130,7 +134,9 @@
                 Vec::new()
             };
             if let Some(entry) = entries.last() {
-                peer.next = entry.at.index + 1;
+                if !peer.probing {
+                    peer.next = entry.at.index + 1;
+                }
                 peer.in_flight.push_back(entry.at.index);
             }
             heartbeat = false;
@@ -237,6 +243,11 @@
     fn acknowledged(&mut self, matched: u64) {
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
+        if std::mem::take(&mut self.probing) {
+            // Entries that are on their way need not be sent again.
+            let sent = self.in_flight.back().map_or(0, |end| end + 1);
+            self.next = self.next.max(sent);
+        }
         while self
             .in_flight
             .pop_front_if(|end| *end <= self.matched)
@@ -251,9 +262,13 @@
     }
 
     fn refused(&mut self, prev: u64, hint: u64) {
-        if prev <= self.matched {
+        // Answers to heartbeats that waited during a cut come in numbers; each of them would have
+        // all entries sent again.
+        let stale = self.probing && prev + 1 != self.next;
+        if prev <= self.matched || stale {
             return;
         }
+        self.probing = true;
         self.next = prev.min(hint + 1).max(self.matched + 1);
         self.in_flight.clear();
     }
--- a/src/raft/tests/rules.rs
+++ b/src/raft/tests/rules.rs
@@ -307,3 +307,42 @@
         assert_eq!(raft.term(), 1);
     }
 }
+
+/// Guards against a leader that sends the same entries once for each answer to the heartbeats that
+/// waited during a cut; between regions these bytes are billed.
+#[test]
+fn entries_are_sent_again_once_after_a_cut() {
+    // Few enough that the leader keeps them in its log.
+    const ENTRIES: usize = 3;
+    const LATE_ANSWERS: usize = 10;
+    let (mut sim, leader) = elected(3);
+    let follower = (leader + 1) % 3;
+    sim.partition(1 << follower);
+    let held = sim.raft(follower).unwrap().last().index;
+    sim.propose_all(leader, ENTRIES);
+    sim.run(SECOND, CALM);
+    let (now, sender) = (sim.now, member(sim.nodes[follower].id));
+    let raft = sim.nodes[leader].raft.as_mut().unwrap();
+    let (term, last) = (raft.term(), raft.last().index);
+    let mut sent = Vec::new();
+    for _ in 0..LATE_ANSWERS {
+        let refusal = Body::AppendReply {
+            round: 0,
+            matched: held,
+            rejected: Some(last),
+        };
+        let answer = from(raft, &sender, term, refusal);
+        raft.handle(answer, now, 0);
+        let messages = raft.flush(now).send;
+        sent.push(messages.iter().map(|(_, m)| entries_in(m)).sum::<usize>());
+    }
+    assert!(sent[0] > 0, "the entries are sent again");
+    assert!(sent[1..].iter().all(|count| *count == 0), "{sent:?}");
+}
+
+fn entries_in(message: &Message) -> usize {
+    match &message.body {
+        Body::Append { entries, .. } => entries.len(),
+        _ => 0,
+    }
+}
