Keep the log whole after a loss of power between two removals

Cause: a new test plays losses of power over a model of a disk.

Change: each removal of a segment is made durable before the next one.

--- a/src/wal.rs
+++ b/src/wal.rs
@@ -42,6 +42,8 @@
     pub write: fn(&mut File, &[u8]) -> io::Result<()>,
     /// Makes a file durable; tests replace it to make syncs fail.
     pub sync: fn(&File) -> io::Result<()>,
+    /// Makes created, renamed and removed names of a folder durable; tests replace it to lose them.
+    pub sync_folder: fn(&Path) -> io::Result<()>,
 }
 
 impl Default for Options {
@@ -50,6 +52,7 @@
             segment_bytes: 16 * 1024 * 1024,
             write: |file, buf| file.write_all(buf),
             sync: File::sync_data,
+            sync_folder: |folder| File::open(folder)?.sync_all(),
         }
     }
 }
@@ -117,7 +120,7 @@
         let recovered = contents.recovered;
         let hard = recovered.stored.hard;
         let sequence = contents.sequence + 1;
-        let (file, current) = create_segment(folder, sequence)?;
+        let (file, current) = create_segment(folder, sequence, &options)?;
         let mut wal = Self {
             folder: folder.to_owned(),
             options,
@@ -232,7 +235,7 @@
     }
 
     fn roll(&mut self) -> Result<()> {
-        let (file, segment) = create_segment(&self.folder, self.sequence + 1)?;
+        let (file, segment) = create_segment(&self.folder, self.sequence + 1, &self.options)?;
         self.sequence += 1;
         self.file = file;
         let full = std::mem::replace(&mut self.current, segment);
@@ -252,19 +255,21 @@
         self.sync()?;
         while let Some(old) = self.segments.pop_front_if(|old| old.last < index) {
             folder::remove(&old.path)?;
+            // One by one: a loss of power may undo some of several removals, which leaves a gap.
+            folder::sync(&self.folder, &self.options)?;
         }
         Ok(())
     }
 }
 
-fn create_segment(folder: &Path, sequence: u64) -> Result<(File, Segment)> {
+fn create_segment(folder: &Path, sequence: u64, options: &Options) -> Result<(File, Segment)> {
     let path = folder.join(format!("{sequence:020}.log"));
     let file = File::create_new(&path).map_err(|source| Error::File {
         step: "create segment",
         path: path.clone(),
         source,
     })?;
-    folder::sync(folder)?;
+    folder::sync(folder, options)?;
     let segment = Segment {
         path,
         last: 0,
--- a/src/wal/folder.rs
+++ b/src/wal/folder.rs
@@ -75,7 +75,7 @@
         .map_err(at("find folder", folder))?
         .parent()
     {
-        sync(parent)?;
+        sync(parent, &Options::default())?;
     }
     let path = folder.join("lock");
     let file = File::create(&path).map_err(at("create lock", &path))?;
@@ -85,10 +85,8 @@
 }
 
 /// Makes created, renamed and removed names in `folder` durable.
-pub(super) fn sync(folder: &Path) -> Result<()> {
-    File::open(folder)
-        .and_then(|file| file.sync_all())
-        .map_err(at("sync folder", folder))
+pub(super) fn sync(folder: &Path, options: &Options) -> Result<()> {
+    (options.sync_folder)(folder).map_err(at("sync folder", folder))
 }
 
 /// Removes a file.
--- a/src/wal/recover.rs
+++ b/src/wal/recover.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Segment,
+        Options, Segment,
         folder::{at, sync},
         frame::{Frame, HEADER, Record, frame_at, intact_after},
         snapshot,
@@ -181,7 +181,8 @@
     file.set_len(offset as u64)
         .and_then(|()| file.sync_all())
         .map_err(at("cut segment", path))?;
-    path.parent().map_or(Ok(()), sync)
+    let synced = |folder| sync(folder, &Options::default());
+    path.parent().map_or(Ok(()), synced)
 }
 
 impl Replay {
--- a/src/wal/snapshot.rs
+++ b/src/wal/snapshot.rs
@@ -68,7 +68,7 @@
     (options.write)(&mut file, &buf).map_err(at("write snapshot", &partial))?;
     (options.sync)(&file).map_err(at("sync snapshot", &partial))?;
     fs::rename(&partial, &path).map_err(at("rename snapshot", &path))?;
-    sync(folder)?;
+    sync(folder, options)?;
     for old in files(folder, SUFFIX)? {
         if old < path {
             remove(&old)?;
--- a/src/wal/tests.rs
+++ b/src/wal/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the data folder.
 
+mod power;
+
 use {
     super::{
         Batch, Options, Wal,
