--- a/examples/routing_cost/policy.rs
+++ b/examples/routing_cost/policy.rs
@@ -3,7 +3,7 @@
 use {
     super::{SEED, SERVICES, endpoint, here},
     anvilbeam::{
-        balance::{Balancer, Change, Choice, Outcome},
+        balance::{Balancer, Change, Choice, Outcome, Wanted},
         model::{Endpoint, Rank, ServerName},
         retry::{Body, Budget, Call, Cause, Decision, Failure, MAX_ATTEMPTS, decide},
         routes::{Candidates, Snapshot},
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,3 +1,5 @@
+mod ended;
+
 use {super::*, std::path::Path};
 
 /// Guards against a setting that is accepted and then ignored.
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -287,7 +287,7 @@
         }
     }
 
-    fn open(self: &Arc<Self>, req: &Subscribe) -> Response<Body> {
+    pub(super) fn open(self: &Arc<Self>, req: &Subscribe) -> Response<Body> {
         let (child, stream) = (req.daemon.clone(), req.stream);
         let mut content = self.content();
         let Some(root) = &mut content.root else {
