--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -3,8 +3,9 @@
 //!
 //! Each daemon runs a [`crate::limits::Limiter`], a data centre relay also a
 //! [`crate::limits::Relay`] for its data centre, and a region relay also one for its region
-//! ([`Node`]). The config leader runs the root ([`Root`]). Reducers of one process exchange the
-//! same messages as those of different processes.
+//! ([`Node`]). Which daemons are relays follows from the announced endpoints ([`Place`]). The config
+//! leader runs the root ([`Root`]). Reducers of one process exchange the same messages as those of
+//! different processes.
 //!
 //! Reducers of a grant are created with the first demand and dropped [`IDLE_TIMEOUT`] after the
 //! last. All leases and guarantees that a relay has issued have expired by then, and a parent
@@ -30,6 +31,7 @@
 
 mod link;
 mod node;
+mod place;
 mod reducers;
 mod root;
 #[cfg(test)]
@@ -37,6 +39,7 @@
 
 pub use self::{
     node::{Node, Output, Topology},
+    place::Place,
     root::Root,
 };
 
@@ -44,7 +47,6 @@
     crate::{
         limits::{Demand, LEASE, RELAY_GUARANTEE, REPORT_INTERVAL, Share},
         model::{DaemonName, GrantKey, Region},
-        relays::Role,
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -81,17 +83,6 @@
     Region,
 }
 
-impl Tier {
-    /// Returns the highest tier at which a daemon with `role` runs a reducer.
-    pub const fn of(role: Role) -> Self {
-        match role {
-            Role::Leaf => Self::Daemon,
-            Role::DataCentreRelay { .. } => Self::DataCentre,
-            Role::RegionRelay { .. } => Self::Region,
-        }
-    }
-}
-
 /// Demand of one child for one grant.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
--- a/src/capacity/root.rs
+++ b/src/capacity/root.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Returns whether a grant has had demand lately.
+    pub fn in_use(&self) -> bool {
+        !self.grants.is_empty()
+    }
+
     /// Returns the configuration that the capacities are taken from.
     pub fn config(&self) -> &Arc<Config> {
         &self.config
--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -20,11 +20,13 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::{MissedTickBehavior, interval},
+    tokio::time::sleep,
 };
 
 /// Interval at which credits are issued; they are valid for 100 ms.
 const TICK: Duration = Duration::from_millis(10);
+/// Interval of the checks while no grant with a limited capacity has demand.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 
 /// Distribution of grant capacity at one replica of the config group.
 #[derive(Debug)]
@@ -60,10 +62,9 @@
     }
 
     async fn tick_forever(self: Arc<Self>) {
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            let in_use = self.root().as_ref().is_some_and(|(_, root)| root.in_use());
+            sleep(if in_use { TICK } else { IDLE_TICK }).await;
             self.follow_leadership();
             let now = Instant::now();
             let config = self.tree.config();
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -12,6 +12,7 @@
         edits::{self, State},
         error::Result,
         peer::Client,
+        relays::Member,
         replica::{self, Handle, Options, StateMachine},
         settings,
         tree_wire::{DEMAND_PATH, SHARES_PATH},
@@ -51,9 +52,15 @@
             snapshot: edits::snapshot,
             restore: edits::restore,
         };
+        let member = Member {
+            daemon: cfg.name.as_str().into(),
+            address: options.address,
+            data_centre: cfg.data_centre.clone(),
+            region: cfg.region.clone(),
+        };
         let (handle, thread) =
             replica::start(options, machine, replication::sender(client.clone()))?;
-        let tree = ControlTree::start(handle.clone());
+        let tree = ControlTree::start(handle.clone(), client.clone(), member);
         let replica = Arc::new(Self {
             capacity: ControlCapacity::start(handle.clone(), Arc::clone(&tree), &cfg.region),
             started: Instant::now(),
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -1,145 +1,122 @@
-//! Root of the distribution tree, which runs at the leader of the config group.
+//! Distribution tree at one replica of the config group.
 
 use {
     crate::{
         body::Body,
         edits::State,
-        endpoints::{Directory, EndpointDelta},
+        endpoints::Directory,
         events::Event,
         log_event,
-        model::{Config, DataCentre, Version},
+        model::{Config, Version},
         operator_api::{DataCentreStatus, Lagging},
-        peer,
+        peer::{self, Client},
         raft::Role,
         relays::{
-            Attach, AttachReply, Children, RELAY_LEASE, RelayTable, Report, Subscribe,
-            SubscribeReply,
+            ADMITTED_PER_SECOND, Admission, Attach, AttachReply, Effect, Hub, Leadership, Member,
+            StreamEvent, Subscribe,
         },
         replica::{Handle, RequestError},
-        tree_wire::{ATTACH_PATH, AttachAnswer, ChildStreams, Frame, REPORT_PATH, SUBSCRIBE_PATH},
-        versions::ConfigStore,
+        tree_wire::{
+            ATTACH_PATH, ChildStreams, FLOOR_PATH, REPORT_PATH, SUBSCRIBE_PATH, SourceStreams,
+            report_reply, send_to_child,
+        },
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    indexmap::IndexMap,
     std::{
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::{Mutex as AsyncMutex, Notify},
+        time::{MissedTickBehavior, interval, timeout, timeout_at},
     },
-    tokio::time::{MissedTickBehavior, interval, timeout},
 };
 
 /// Interval at which leases and heartbeats are checked.
 const TICK: Duration = Duration::from_millis(100);
-/// Timeout for a majority to confirm that this replica leads; a daemon waits 1 s for its answer.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
-/// Longest time that a daemon's request waits for the end of an election. It is short, since the
-/// daemon asks one replica at a time and another one may know the leader.
+/// Timeout for a majority to confirm the version; a daemon waits 1 s for its answer.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time that a daemon's request waits for the end of an election.
 const ELECTION_WAIT: Duration = Duration::from_millis(300);
-/// Level of control replicas in the tree.
-const LEVEL: u8 = 0;
-
-/// State of the root while this replica leads.
-#[derive(Debug)]
-struct Root {
-    term: u64,
-    table: RelayTable,
-    children: Children,
-    /// Endpoint sets owned by a daemon that is not subscribed, with the time since when it is not.
-    detached_since: IndexMap<DataCentre, Instant>,
-}
-
-impl Root {
-    /// Empties each endpoint set of one daemon that has not been subscribed for [`RELAY_LEASE`].
-    /// From the new epoch, a daemon that returns detects that it no longer owns the set.
-    fn clear_abandoned_sets(&mut self, directory: &mut Directory, now: Instant) {
-        let children = &self.children;
-        let detached = directory.single_daemon_sets();
-        let detached = detached.filter(|set| children.stream(&set.as_str().into()).is_none());
-        let detached: Vec<DataCentre> = detached.cloned().collect();
-        self.detached_since.retain(|set, _| detached.contains(set));
-        for set in detached {
-            let since = *self.detached_since.entry(set.clone()).or_insert(now);
-            if now < since + RELAY_LEASE {
-                continue;
-            }
-            let delta = EndpointDelta::empty_set(set, self.table.next_epoch());
-            match directory.apply(&delta, now) {
-                Ok(changed) => changed.removed.iter().for_each(|key| {
-                    log_event!(
-                        Event::EndpointLapsed,
-                        server = key.server,
-                        service = key.service,
-                        daemon = key.daemon
-                    );
-                }),
-                Err(e) => log::warn!("endpoint set not emptied: {e}"),
-            }
-        }
-    }
-}
 
-/// State of the tree; it has a root while this replica leads.
-#[derive(Debug)]
-struct TreeState {
-    store: ConfigStore,
-    directory: Directory,
-    root: Option<Root>,
+/// Result of the last confirmation of the version.
+#[derive(Clone, Copy, Debug)]
+struct Confirmed {
+    /// When it was requested.
+    since: Instant,
+    /// The version; `None` if no majority confirmed it.
+    version: Option<Version>,
 }
 
 /// The distribution tree at one control replica.
 #[derive(Debug)]
 pub struct ControlTree {
     handle: Handle<State>,
-    state: Mutex<TreeState>,
-    streams: ChildStreams,
+    client: Client,
+    hub: Mutex<Hub>,
+    children: ChildStreams,
+    source: Arc<SourceStreams>,
+    admission: Mutex<Admission>,
+    /// Last confirmation of the version; locked during a request, so that concurrent attach
+    /// requests share one.
+    confirmed: AsyncMutex<Option<Confirmed>>,
+    /// Notified when a child has reported.
+    reported: Notify,
     attach_requests: AtomicU64,
+    /// Whether this replica leads, and the term.
+    leads: Mutex<Option<u64>>,
 }
 
 impl ControlTree {
-    /// Starts the tree of the replica behind `handle`, with its tasks.
-    pub(super) fn start(handle: Handle<State>) -> Arc<Self> {
+    /// Starts the tree of the replica `member` behind `handle`, with its tasks.
+    pub(super) fn start(handle: Handle<State>, client: Client, member: Member) -> Arc<Self> {
+        let now = Instant::now();
+        let started = SystemTime::now().duration_since(UNIX_EPOCH);
+        let incarnation = started.map_or(1, |since| since.as_millis() as u64);
         let tree = Arc::new(Self {
             handle,
-            state: Mutex::new(TreeState {
-                store: ConfigStore::with_config(Config::default()),
-                directory: Directory::default(),
-                root: None,
-            }),
-            streams: ChildStreams::default(),
+            hub: Mutex::new(Hub::new(member, incarnation, Config::default(), now)),
+            children: ChildStreams::default(),
+            source: SourceStreams::new(client.clone()),
+            client,
+            admission: Mutex::new(Admission::new(ADMITTED_PER_SECOND, now)),
+            confirmed: AsyncMutex::default(),
+            reported: Notify::new(),
             attach_requests: AtomicU64::new(0),
+            leads: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&tree).follow_log());
         tokio::spawn(Arc::clone(&tree).tick_forever());
         tree
     }
 
-    fn state(&self) -> MutexGuard<'_, TreeState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn hub(&self) -> MutexGuard<'_, Hub> {
+        self.hub.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Applies each new version from the replicated log and sends it to the children.
     async fn follow_log(self: Arc<Self>) {
         let mut status = self.handle.watch();
         loop {
-            // Not left to the next tick, since starting daemons wait for the new root.
-            self.follow_leadership();
-            let applied_version = self.state().store.version();
+            // Not left to the next tick, since daemons wait for the end of an election.
+            self.tick();
+            let applied_version = self.version();
             let delta = self
                 .handle
                 .read_local(move |state| state.store().delta_since(applied_version))
                 .await;
             match delta {
                 Ok(Some(delta)) => {
-                    let applied = self.state().store.apply(&delta);
-                    if let Err(e) = applied {
-                        log::error!("version from the replicated log not applied: {e}");
+                    let mut hub = self.hub();
+                    match hub.apply_version(Instant::now(), &delta) {
+                        Ok(effects) => self.execute(effects),
+                        Err(e) => log::error!("version from the replicated log not applied: {e}"),
                     }
-                    self.send_due_frames();
                 }
                 Ok(None) => {
                     if status.changed().await.is_err() {
@@ -157,79 +134,105 @@
         loop {
             ticks.tick().await;
             if self.handle.has_stopped() {
-                // Its last status may still say that it leads, so daemons would keep following it.
-                self.state().root = None;
-                self.streams.close_all();
+                // Its last status may still name a leader, so daemons would keep following it.
+                self.children.close_all();
+                self.source.close_all();
                 return;
             }
-            self.follow_leadership();
-            self.send_due_frames();
+            self.tick();
         }
     }
 
-    /// Creates the root when this replica starts to lead a term, and drops it when that ends.
-    fn follow_leadership(&self) {
+    fn tick(self: &Arc<Self>) {
         let status = self.handle.status();
         let leads = status.role == Role::Leader;
-        let mut tree_state = self.state();
-        let root_term = tree_state.root.as_ref().map(|root| root.term);
-        if root_term == leads.then_some(status.term) {
+        self.log_leadership(leads.then_some(status.term));
+        let leadership = Leadership {
+            leads,
+            leader: status.leader.map(|leader| leader.address),
+            contact: self.handle.quorum_contact(),
+        };
+        let members = status.members.iter().map(|member| member.address);
+        let mut hub = self.hub();
+        hub.set_group(members.collect());
+        let effects = hub.tick(Instant::now(), rand::random(), leadership);
+        self.execute(effects);
+    }
+
+    fn log_leadership(&self, term: Option<u64>) {
+        let mut leads = self.leads.lock().unwrap_or_else(PoisonError::into_inner);
+        if *leads == term {
             return;
         }
-        let now = Instant::now();
-        tree_state.root = leads.then(|| Root {
-            term: status.term,
-            table: RelayTable::new(status.term, now),
-            children: Children::new(now),
-            detached_since: IndexMap::new(),
-        });
-        drop(tree_state);
-        self.streams.close_all();
-        if leads {
-            log_event!(Event::LeaderElected, term = status.term);
-        } else {
-            log_event!(Event::LeaderSteppedDown, term = status.term);
+        match (term, *leads) {
+            (Some(term), _) => log_event!(Event::LeaderElected, term = term),
+            (None, before) => {
+                log_event!(Event::LeaderSteppedDown, term = before.unwrap_or_default());
+            }
         }
+        *leads = term;
     }
 
-    /// Ends expired leases and sends the frames that are due to the children.
-    fn send_due_frames(&self) {
-        let now = Instant::now();
-        let mut tree_state = self.state();
-        let TreeState {
-            store,
-            directory,
-            root: Some(root),
-        } = &mut *tree_state
-        else {
-            return;
-        };
-        directory.expire(now);
-        root.children.expire(now);
-        root.clear_abandoned_sets(directory, now);
-        match root.children.frames(store, directory, 0, now) {
-            Ok(frames) => {
-                for (child, update) in frames {
-                    let stream = update.stream;
-                    let frame = Frame::Update(Box::new(update));
-                    self.streams.send(&child, stream, &frame);
+    /// Executes the effects of the hub, which the caller has locked: frames of concurrent events
+    /// must not overtake each other.
+    fn execute(self: &Arc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            let Some(effect) = send_to_child(&self.children, effect) else {
+                continue;
+            };
+            match effect {
+                Effect::Subscribe { address, req } => {
+                    log_event!(Event::ParentChosen, address = address, stream = req.stream);
+                    let tree = Arc::clone(self);
+                    self.source
+                        .subscribe(address, *req, move |event| tree.handle(event));
+                }
+                Effect::Unsubscribe { stream, reason } => {
+                    if let Some(address) = self.source.close(stream) {
+                        log_event!(
+                            Event::ParentLost,
+                            address = address,
+                            stream = stream,
+                            reason = reason
+                        );
+                    }
+                }
+                Effect::Report(report) => {
+                    let tree = Arc::clone(self);
+                    self.source.report(*report, move |event| tree.handle(event));
                 }
+                _ => {}
             }
-            Err(e) => log::error!("frames for children not built: {e}"),
         }
     }
 
-    /// Answers a request of a daemon on the peer port.
+    fn handle(self: &Arc<Self>, event: StreamEvent) {
+        let mut hub = self.hub();
+        let effects = hub.handle(Instant::now(), rand::random(), event);
+        self.execute(effects);
+    }
+
+    /// Answers a request of a daemon or of another replica on the peer port.
     pub(super) async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let answered = match req.uri().path() {
             ATTACH_PATH => match peer::read_message(req).await {
                 Ok(attach) => Ok(peer::message_response(&self.attach(&attach).await)),
                 Err(e) => Err(e),
             },
-            SUBSCRIBE_PATH => peer::read_message(req).await.map(|req| self.open(&req)),
+            FLOOR_PATH => Ok(peer::message_response(&self.read_version().await)),
+            SUBSCRIBE_PATH => peer::read_message(req).await.map(|req| self.open(req)),
             REPORT_PATH => peer::read_message(req).await.map(|report| {
-                self.apply_report(&report);
-                peer::message_response(&())
+                let mut hub = self.hub();
+                let event = StreamEvent::Report(report);
+                let effects = hub.handle(Instant::now(), rand::random(), event);
+                let reply = report_reply(&effects);
+                self.execute(effects);
+                drop(hub);
+                self.reported.notify_waiters();
+                reply.map_or_else(
+                    || peer::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
+                    |reply| peer::message_response(&reply),
+                )
             }),
             _ => Ok(peer::empty_response(StatusCode::NOT_FOUND)),
         };
@@ -239,32 +242,25 @@
         })
     }
 
-    async fn attach(&self, attach: &Attach) -> AttachAnswer {
+    async fn attach(&self, attach: &Attach) -> AttachReply {
         self.attach_requests.fetch_add(1, Ordering::Relaxed);
-        self.await_leader().await;
-        let floor = match self.confirmed_version().await {
-            Ok(floor) => floor,
-            Err(leader) => return AttachAnswer::NotLeader(leader),
-        };
-        let mut tree_state = self.state();
-        let Some(root) = &mut tree_state.root else {
-            return AttachAnswer::NotLeader(None);
-        };
-        let reply = root.table.attach(attach, floor, Instant::now());
-        drop(tree_state);
-        if let AttachReply::Attached(attached) = &reply {
-            log_event!(
-                Event::RelayLeaseGranted,
-                daemon = attach.member.daemon,
-                role = format!("{:?}", attached.role),
-                parent = format!("{:?}", attached.parent),
-            );
-        }
-        let members = self.handle.members();
-        AttachAnswer::Reply {
-            reply,
-            members: members.iter().map(|member| member.address).collect(),
+        let admitted = self
+            .admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .admit(Instant::now());
+        if let Err(wait) = admitted {
+            let retry_after_ms = wait.as_millis() as u32 + 1;
+            return AttachReply::Refused { retry_after_ms };
         }
+        self.await_leader().await;
+        let floor = self.confirmed_version().await;
+        log::debug!(
+            "daemon {} attached with floor {floor:?}",
+            attach.member.daemon
+        );
+        let replicas = self.hub().replicas();
+        AttachReply::Attached { floor, replicas }
     }
 
     /// Waits up to [`ELECTION_WAIT`] for a leader, so that the daemon need not repeat its request.
@@ -276,97 +272,108 @@
         }
     }
 
-    /// Returns the version that a majority confirms, `None` after a timeout, or the other leader.
-    async fn confirmed_version(&self) -> std::result::Result<Option<Version>, Option<SocketAddr>> {
+    /// Returns a version that a majority has confirmed to be the newest since this call; `None` after
+    /// a timeout.
+    async fn confirmed_version(&self) -> Option<Version> {
+        let arrived = Instant::now();
+        let mut last = self.confirmed.lock().await;
+        if let Some(known) = last.filter(|known| known.since >= arrived) {
+            return known.version;
+        }
+        let since = Instant::now();
+        let leader = self.handle.status().leader;
+        let version = match leader.filter(|leader| leader.id != self.handle.id()) {
+            Some(leader) => self.ask_floor(leader.address).await,
+            None => self.read_version().await,
+        };
+        *last = Some(Confirmed { since, version });
+        version
+    }
+
+    /// Asks the leader for the version.
+    async fn ask_floor(&self, leader: SocketAddr) -> Option<Version> {
+        let deadline = Instant::now() + CONFIRM_TIMEOUT;
+        let answer = self
+            .client
+            .request("ask floor", leader, FLOOR_PATH, &(), deadline)
+            .await;
+        answer.unwrap_or_else(|e| {
+            log::debug!("{e}");
+            None
+        })
+    }
+
+    /// Returns the version that a majority confirms to this leader; `None` after a timeout, or if
+    /// this replica does not lead.
+    async fn read_version(&self) -> Option<Version> {
         let read = self.handle.read(|state| state.store().version());
         match timeout(CONFIRM_TIMEOUT, read).await {
-            Ok(Ok(version)) => Ok(Some(version)),
-            Ok(Err(RequestError::NotLeader(leader))) => Err(leader.map(|leader| leader.address)),
-            Ok(Err(_)) => Err(None),
-            Err(_elapsed) => Ok(None),
+            Ok(Ok(version)) => Some(version),
+            Ok(Err(RequestError::NotLeader(_))) | Err(_) => None,
+            Ok(Err(e)) => {
+                log::debug!("version not confirmed: {e}");
+                None
+            }
         }
     }
 
     /// Answers a subscription with the stream of updates to the child.
-    pub(super) fn open(self: &Arc<Self>, req: &Subscribe) -> Response<Body> {
-        let (child, stream) = (req.daemon.clone(), req.stream);
-        let mut tree_state = self.state();
-        let Some(root) = &mut tree_state.root else {
+    pub(super) fn open(self: &Arc<Self>, req: Subscribe) -> Response<Body> {
+        if self.handle.has_stopped() {
             return peer::empty_response(StatusCode::SERVICE_UNAVAILABLE);
-        };
-        let (response, stream_end) = self.streams.open(&child, stream);
-        let reply = root.children.subscribe(req, LEVEL, Instant::now());
-        drop(tree_state);
-        let accepted = reply == SubscribeReply::Accepted;
-        self.streams.send(&child, stream, &Frame::Reply(reply));
-        if !accepted {
-            self.streams.close(&child, stream);
-            return response;
         }
-        self.send_due_frames();
+        let (child, stream) = (req.member.daemon.clone(), req.stream);
+        let mut hub = self.hub();
+        let (response, stream_end) = self.children.open(&child, stream);
+        let event = StreamEvent::Subscribe(req);
+        let effects = hub.handle(Instant::now(), rand::random(), event);
+        self.execute(effects);
+        drop(hub);
         let tree = Arc::clone(self);
         tokio::spawn(async move {
             stream_end.wait().await;
-            tree.streams.close(&child, stream);
-            if let Some(root) = &mut tree.state().root {
-                root.children.stream_ended(&child, stream);
-            }
+            tree.children.close(&child, stream);
+            tree.handle(StreamEvent::ChildLost { child, stream });
         });
         response
     }
 
-    fn apply_report(&self, report: &Report) {
-        let now = Instant::now();
-        let mut tree_state = self.state();
-        let TreeState {
-            directory,
-            root: Some(root),
-            ..
-        } = &mut *tree_state
-        else {
-            return;
-        };
-        if !root.children.report(report, now) {
-            return;
-        }
-        root.table.report(report, now);
-        for delta in &report.sets {
-            // Heartbeats contain the positions held here, so the relay sends missing deltas again.
-            if let Err(e) = directory.apply(delta, now) {
-                log::debug!("endpoint set not applied: {e}");
+    /// Waits until the daemons that report route by `version` or a newer one, until `deadline` at
+    /// most; returns whether they do. Meaningful at the leader.
+    pub async fn await_in_force(&self, version: Version, deadline: Instant) -> bool {
+        loop {
+            let reported = self.reported.notified();
+            if self.is_in_force(version) {
+                return true;
+            }
+            if timeout_at(deadline.into(), reported).await.is_err() {
+                return self.is_in_force(version);
             }
         }
-        drop(tree_state);
-        self.send_due_frames();
+    }
+
+    fn is_in_force(&self, version: Version) -> bool {
+        let lowest = self.hub().summary().lowest_routing();
+        lowest.is_none_or(|lowest| lowest >= version)
     }
 
     /// Returns the configuration that is distributed.
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(self.state().store.config())
+        Arc::clone(self.hub().config())
     }
 
-    /// Calls `read` with the endpoint sets and returns its result.
+    /// Calls `read` with the endpoints and returns its result.
     pub fn directory<R>(&self, read: impl FnOnce(&Directory) -> R) -> R {
-        read(&self.state().directory)
+        read(self.hub().directory())
     }
 
-    /// Returns the versions in force by data centre; empty while this replica does not lead.
+    /// Returns the versions in force by data centre; those of its own subtree while this replica
+    /// does not lead.
     pub fn status(&self) -> Vec<DataCentreStatus> {
-        let tree_state = self.state();
-        let Some(root) = &tree_state.root else {
-            return Vec::new();
-        };
-        let regions = root.table.relays();
-        let regions: Vec<_> = regions
-            .map(|(data_centre, region, _)| (data_centre, region))
-            .collect();
-        let summary = root.table.summary();
+        let summary = self.hub().summary();
         let parts = summary.data_centres.iter().map(|part| DataCentreStatus {
             data_centre: part.data_centre.to_string(),
-            region: regions
-                .iter()
-                .find(|(data_centre, _)| **data_centre == part.data_centre)
-                .map_or_else(|| "?".to_owned(), |(_, region)| region.to_string()),
+            region: part.region.to_string(),
             daemons: part.daemons,
             in_force_min: part.lowest.0,
             in_force_max: part.highest.0,
@@ -385,12 +392,12 @@
 
     /// Returns the newest version that this replica distributes.
     pub fn version(&self) -> Version {
-        self.state().store.version()
+        self.hub().version()
     }
 
     /// Returns the number of bytes sent to children so far.
     pub fn sent(&self) -> u64 {
-        self.streams.bytes_sent()
+        self.children.bytes_sent()
     }
 
     /// Returns the number of attach requests so far, including refused ones.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -30,7 +30,6 @@
         metrics::Metrics,
         model::Version,
         peer,
-        relays::Role,
         serve::{self, Server},
         settings,
         tree_wire::{DEMAND_PATH, SHARES_PATH},
@@ -196,9 +195,9 @@
         &self.shared.metrics
     }
 
-    /// Returns the role of the daemon in the distribution tree.
-    pub fn role(&self) -> Role {
-        self.tree.role()
+    /// Returns the level of the daemon in the distribution tree: 1 below a control replica.
+    pub fn level(&self) -> u8 {
+        self.tree.level()
     }
 
     /// Returns the time until which new calls are accepted, and the deadline of the shutdown.
--- a/src/daemon/capacity.rs
+++ b/src/daemon/capacity.rs
@@ -9,17 +9,17 @@
         body::Body,
         call::Call,
         capacity::{
-            DemandReport, DemandReports, MAX_WAIT, Node, OpenShares, Output, POLL_INTERVAL,
+            DemandReport, DemandReports, MAX_WAIT, Node, OpenShares, Output, POLL_INTERVAL, Place,
             ShareUpdate, Tier, Topology,
         },
         events::Event as LogEvent,
         limits::{LEASE, MILLI, REPORT_INTERVAL},
         log_event,
         metrics::{Direction, Link, Metrics},
-        model::{DaemonName, GrantKey, UNLIMITED},
+        model::{DaemonName, Grant, GrantKey, UNLIMITED, Version},
         peer,
         refusal::{Reason, Refusal},
-        relays::{HEARTBEAT, Uplink},
+        relays::Uplink,
         settings,
         tree_wire::{ChildStreams, DEMAND_PATH, SHARES_PATH},
     },
@@ -40,6 +40,9 @@
     },
 };
 
+/// Interval at which a region relay reports to the config leader without demand.
+const REGION_HEARTBEAT: Duration = Duration::from_secs(1);
+
 /// Interval at which the regions, and the daemons of the own region and data centre, are counted; a
 /// count reads all endpoint sets.
 const DAEMON_COUNT_INTERVAL: Duration = Duration::from_secs(2);
@@ -271,6 +274,11 @@
 
 /// Connection to the parent, and the times of the periodic work.
 struct ParentLink {
+    place: Place,
+    /// Changes of the endpoints and control replicas by which the place was determined.
+    place_changes: Option<(u64, u64)>,
+    /// Version of the configuration, and whether one of its grants has a limited capacity.
+    limited: (Version, bool),
     address: Option<SocketAddr>,
     reader: Option<JoinHandle<()>>,
     next_sync: Instant,
@@ -284,6 +292,12 @@
 pub async fn run_forever(shared: Arc<Shared>, tree: Arc<Tree>) {
     let now = Instant::now();
     let mut parent = ParentLink {
+        place: Place {
+            tier: Tier::Daemon,
+            parent: None,
+        },
+        place_changes: None,
+        limited: (Version(0), false),
         address: None,
         reader: None,
         next_sync: now,
@@ -307,7 +321,7 @@
             .address
             .filter(|_| heartbeat_due || !reports.is_empty())
         {
-            parent.next_heartbeat = now + HEARTBEAT;
+            parent.next_heartbeat = now + REGION_HEARTBEAT;
             let message = capacity.node().message(reports, now);
             tokio::spawn(parent::send(Arc::clone(&shared), address, message));
         }
@@ -319,14 +333,23 @@
     /// Applies changes of the parent, the role, the configuration and the endpoint sets.
     fn sync(&mut self, shared: &Arc<Shared>, tree: &Arc<Tree>, now: Instant) {
         self.next_sync = now + POLL_INTERVAL;
-        let address = tree.parent();
-        let tier = tree.with_uplink(|uplink| Tier::of(uplink.role()));
         let config = {
             let state = shared.state();
             state
                 .snapshot()
                 .map(|snapshot| Arc::clone(snapshot.config()))
         };
+        if let Some(config) = &config
+            && self.limited.0 != config.version
+        {
+            let limited = |grant: &Grant| grant.capacity != UNLIMITED;
+            self.limited = (config.version, config.grants.values().any(limited));
+        }
+        if !self.limited.1 && self.address.is_none() {
+            return;
+        }
+        tree.with_uplink(|uplink| self.find_place(uplink, &shared.cfg));
+        let address = self.place.parent.filter(|_| self.limited.1);
         let topology = (now >= self.next_daemon_count).then(|| {
             self.next_daemon_count = now + DAEMON_COUNT_INTERVAL;
             tree.with_uplink(|uplink| topology(uplink, &shared.cfg))
@@ -338,7 +361,7 @@
         if let Some(topology) = topology {
             node.set_topology(topology);
         }
-        node.set_tier(tier, now);
+        node.set_tier(self.place.tier, now);
         if address != self.address {
             node.detach(now);
         }
@@ -360,6 +383,26 @@
     }
 }
 
+impl ParentLink {
+    /// Determines the place again after a change of the endpoints or control replicas.
+    fn find_place(&mut self, uplink: &Uplink, own: &settings::Daemon) {
+        let changes = (uplink.directory().last_change(), uplink.replica_changes());
+        if self.place_changes == Some(changes) {
+            return;
+        }
+        self.place_changes = Some(changes);
+        let endpoints = uplink.directory().iter();
+        let replicas = uplink.replicas();
+        self.place = Place::new(
+            &own.name,
+            &own.data_centre,
+            &own.region,
+            endpoints,
+            replicas,
+        );
+    }
+}
+
 /// Counts the regions, and the daemons of the own region and data centre. The own daemon counts
 /// even without an endpoint.
 fn topology(uplink: &Uplink, own: &settings::Daemon) -> Topology {
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -3,10 +3,8 @@
 
 mod answering;
 mod asking;
-mod controls;
 
 use {
-    self::controls::Controls,
     super::{event::Event as CallEvent, shared::Shared},
     crate::{
         endpoints::EndpointChanges,
@@ -14,12 +12,11 @@
         log_event,
         metrics::{Direction, Link},
         model::{DaemonName, ServiceName, Version},
-        relays::{Effect, Event, Member, Role, Uplink},
+        relays::{Effect, Event, Member, Report, ReportReply, StreamEvent, Uplink},
         routes::{Location, Snapshot},
-        settings::TreeShape,
-        tree_wire::{ChildStreams, Frame},
+        tree_wire::{ChildStreams, SourceStreams, report_reply, send_to_child},
     },
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexSet,
     std::{
         net::SocketAddr,
         sync::{
@@ -29,8 +26,8 @@
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        task::JoinHandle,
-        time::{MissedTickBehavior, interval},
+        sync::Notify,
+        time::{MissedTickBehavior, interval, timeout_at},
     },
 };
 
@@ -42,11 +39,11 @@
     shared: Arc<Shared>,
     uplink: Mutex<Uplink>,
     children: ChildStreams,
-    /// Parent addresses and the tasks that read their streams, by stream number.
-    parents: Mutex<IndexMap<u64, (SocketAddr, JoinHandle<()>)>>,
-    /// Bytes sent to children that are already in the metrics.
-    counted_bytes: AtomicU64,
-    controls: Mutex<Controls>,
+    source: Arc<SourceStreams>,
+    /// Notified when the source has answered a report, and when a new version is in force.
+    confirmed: Notify,
+    /// Bytes sent to children, received from sources and sent to them that are in the metrics.
+    counted_bytes: [AtomicU64; 3],
 }
 
 impl std::fmt::Debug for Tree {
@@ -58,36 +55,25 @@
 }
 
 impl Tree {
-    /// Creates the tree connections of a daemon, which has no parent at first.
+    /// Creates the tree connections of a daemon, which has no source at first.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
         let cfg = &shared.cfg;
-        // A daemon that subscribes to control directly forms a data centre and region of its own.
-        let own = cfg.name.as_str();
-        let (data_centre, region) = match cfg.tree {
-            TreeShape::Relayed => (cfg.data_centre.clone(), cfg.region.clone()),
-            TreeShape::Direct => (own.into(), own.into()),
-        };
         let member = Member {
             daemon: cfg.name.clone(),
             address: shared.advertised,
-            data_centre,
-            region,
+            data_centre: cfg.data_centre.clone(),
+            region: cfg.region.clone(),
         };
         let started = SystemTime::now().duration_since(UNIX_EPOCH);
-        // Stream numbers are derived from the incarnation; in seconds they fit into 64 bits.
-        let incarnation = started.map_or(1, |since| since.as_secs());
-        let controls = cfg.control.len() as u32;
-        let uplink = Uplink::new(member, incarnation, controls, Instant::now());
-        let uplink = match cfg.tree {
-            TreeShape::Relayed => uplink,
-            TreeShape::Direct => uplink.direct(),
-        };
+        let incarnation = started.map_or(1, |since| since.as_millis() as u64);
+        let control = cfg.control.clone();
+        let uplink = Uplink::new(member, incarnation, control, Instant::now());
         Arc::new(Self {
             uplink: Mutex::new(uplink),
             children: ChildStreams::default(),
-            parents: Mutex::default(),
-            counted_bytes: AtomicU64::new(0),
-            controls: Mutex::new(Controls::new(cfg.control.clone())),
+            source: SourceStreams::new(shared.client.clone()),
+            confirmed: Notify::new(),
+            counted_bytes: Default::default(),
             shared,
         })
     }
@@ -99,10 +85,21 @@
         loop {
             ticks.tick().await;
             self.step(Event::Tick);
-            let sent = self.children.bytes_sent();
-            let before = self.counted_bytes.swap(sent, Ordering::Relaxed);
-            let metrics = &self.shared.metrics;
-            metrics.add_control_bytes(Link::Children, Direction::Out, sent.saturating_sub(before));
+            self.count_bytes();
+        }
+    }
+
+    fn count_bytes(&self) {
+        let (received, sent) = self.source.bytes();
+        let totals = [
+            (Link::Children, Direction::Out, self.children.bytes_sent()),
+            (Link::Parent, Direction::In, received),
+            (Link::Parent, Direction::Out, sent),
+        ];
+        let metrics = &self.shared.metrics;
+        for ((link, direction, total), counted) in totals.into_iter().zip(&self.counted_bytes) {
+            let before = counted.swap(total, Ordering::Relaxed);
+            metrics.add_control_bytes(link, direction, total.saturating_sub(before));
         }
     }
 
@@ -114,15 +111,13 @@
         }
     }
 
-    /// Closes all streams: children subscribe to another parent, and the own subscription ends.
+    /// Closes all streams: children subscribe elsewhere, and the own subscription ends.
     pub fn close_streams(&self) {
         self.children.close_all();
-        for (_, (_, reader)) in self.parents().drain(..) {
-            reader.abort();
-        }
+        self.source.close_all();
     }
 
-    /// Reports the endpoint of the own backend server to the parent.
+    /// Reports the endpoint of the own backend server to the source.
     pub fn report_endpoint(self: &Arc<Self>) {
         let endpoints = self.shared.own_endpoint().into_iter().collect();
         self.step(Event::Endpoints(endpoints));
@@ -138,15 +133,31 @@
         });
     }
 
-    /// Returns the role in the tree.
-    pub fn role(&self) -> Role {
-        self.uplink().role()
+    /// Returns whether no version existed at time `since` that is newer than the one in force; asks
+    /// the source until `deadline`.
+    pub async fn confirm_current(self: &Arc<Self>, since: Instant, deadline: Instant) -> bool {
+        let is_current = || {
+            let current_at = self.uplink().current_at();
+            current_at.is_some_and(|at| at >= since)
+        };
+        if is_current() {
+            return true;
+        }
+        loop {
+            let confirmed = self.confirmed.notified();
+            if is_current() {
+                return true;
+            }
+            self.step(Event::Confirm);
+            if timeout_at(deadline.into(), confirmed).await.is_err() {
+                return is_current();
+            }
+        }
     }
 
-    /// Returns the address of the parent that the daemon is subscribed to, if any.
-    pub fn parent(&self) -> Option<SocketAddr> {
-        let (_, stream) = self.uplink().parent()?;
-        self.parents().get(&stream).map(|(address, _)| *address)
+    /// Returns the level in the tree.
+    pub fn level(&self) -> u8 {
+        self.uplink().level()
     }
 
     /// Calls `read` with the state machine, which stays locked meanwhile.
@@ -158,35 +169,37 @@
         self.uplink.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Passes an event to the state machine and executes the effects.
+    ///
+    /// Done under the lock, so that routes are replaced in the order of their versions, and frames of
+    /// concurrent events don't overtake each other.
     fn step(self: &Arc<Self>, event: Event) {
+        let confirms = matches!(event, Event::Stream(StreamEvent::Reported { .. }));
         let mut uplink = self.uplink();
         let effects = uplink.step(Instant::now(), rand::random(), event);
-        // Done under the lock, so that routes are replaced in the order of their versions.
-        self.swap_routes(&uplink, &effects);
+        self.execute_all(&uplink, effects);
         drop(uplink);
-        let mut members_changed = false;
-        for effect in effects {
-            members_changed |= matches!(effect, Effect::PublishEndpoints(_));
-            self.execute(effect);
-        }
-        if members_changed {
-            self.update_members();
+        if confirms {
+            self.confirmed.notify_waiters();
         }
     }
 
-    fn update_members(self: &Arc<Self>) {
-        let own = &self.shared.cfg;
-        let members: IndexMap<DaemonName, SocketAddr> = {
-            let uplink = self.uplink();
-            let endpoints = uplink.directory().of_data_centre(&own.data_centre);
-            endpoints
-                .filter(|endpoint| endpoint.daemon != own.name)
-                .map(|endpoint| (endpoint.daemon.clone(), endpoint.address))
-                .collect()
-        };
-        let members = members.into_iter().collect();
-        self.uplink()
-            .step(Instant::now(), rand::random(), Event::Members(members));
+    fn step_report(self: &Arc<Self>, report: Report) -> Option<ReportReply> {
+        let event = Event::Stream(StreamEvent::Report(report));
+        let mut uplink = self.uplink();
+        let effects = uplink.step(Instant::now(), rand::random(), event);
+        let reply = report_reply(&effects);
+        self.execute_all(&uplink, effects);
+        reply
+    }
+
+    fn execute_all(self: &Arc<Self>, uplink: &Uplink, effects: Vec<Effect>) {
+        self.swap_routes(uplink, &effects);
+        for effect in effects {
+            if let Some(effect) = send_to_child(&self.children, effect) {
+                self.execute(effect);
+            }
+        }
     }
 
     /// Replaces the routes atomically after a new version or a change of endpoints.
@@ -217,6 +230,7 @@
         if let Some(snapshot) = snapshot {
             self.shared
                 .dispatch(None, CallEvent::RoutesChanged(snapshot));
+            self.confirmed.notify_waiters();
         }
     }
 
@@ -242,23 +256,35 @@
 
     fn execute(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::AskControl { control, attach } => {
-                tokio::spawn(Arc::clone(self).ask_control(control, attach));
-            }
-            Effect::SubscribeControl { control, req } => {
-                let address = self.control_address(control);
-                self.subscribe(address, req);
+            Effect::Attach { address, attach } => {
+                tokio::spawn(Arc::clone(self).ask_control(address, attach));
             }
-            Effect::SubscribeDaemon { name, address, req } => {
-                log_event!(LogEvent::ParentChosen, parent = name, address = address);
-                self.subscribe(address, req);
+            Effect::Subscribe { address, req } => {
+                log_event!(
+                    LogEvent::ParentChosen,
+                    address = address,
+                    stream = req.stream,
+                    level = req.level
+                );
+                let tree = Arc::clone(self);
+                self.source
+                    .subscribe(address, *req, move |event| tree.step(Event::Stream(event)));
             }
-            Effect::Unsubscribe { stream } => {
-                if let Some((address, reader)) = self.parents().swap_remove(&stream) {
-                    log_event!(LogEvent::ParentLost, address = address, stream = stream);
-                    reader.abort();
+            Effect::Unsubscribe { stream, reason } => {
+                if let Some(address) = self.source.close(stream) {
+                    log_event!(
+                        LogEvent::ParentLost,
+                        address = address,
+                        stream = stream,
+                        reason = reason
+                    );
                 }
             }
+            Effect::Report(report) => {
+                let tree = Arc::clone(self);
+                self.source
+                    .report(*report, move |event| tree.step(Event::Stream(event)));
+            }
             Effect::AskPeers(peers) => {
                 for (name, address) in peers {
                     tokio::spawn(Arc::clone(self).ask_version(name, address));
@@ -272,54 +298,20 @@
                 log::info!("fetching versions after {version} from daemon {name}");
                 tokio::spawn(Arc::clone(self).fetch(address, version));
             }
-            // Done by `swap_routes`.
-            Effect::Publish(_) => {}
             Effect::PublishEndpoints(changed) => log_endpoints(&changed),
-            Effect::Report(report) => self.report(report),
-            Effect::Answer {
-                child,
-                stream,
-                reply,
-            } => self.children.send(&child, stream, &Frame::Reply(reply)),
-            Effect::Update { child, update } => {
-                let stream = update.stream;
-                let frame = Frame::Update(Box::new(update));
-                self.children.send(&child, stream, &frame);
-            }
-            Effect::DropChildren(children) => {
-                for (child, stream) in children {
-                    self.children.close(&child, stream);
-                }
-            }
+            // Done by `swap_routes`, `step_report` and `send_to_child`.
+            Effect::Publish(_)
+            | Effect::AnswerReport(_)
+            | Effect::Answer { .. }
+            | Effect::Update { .. }
+            | Effect::DropChildren(_) => {}
         }
     }
 
-    fn control_address(&self, index: u32) -> SocketAddr {
-        self.controls().address(index)
-    }
-
-    /// Calls `change` with the control replicas, and passes their number on.
-    fn change_controls<R>(&self, change: impl FnOnce(&mut Controls) -> R) -> R {
-        let mut controls = self.controls();
-        let out = change(&mut controls);
-        let count = controls.count();
-        drop(controls);
-        self.uplink().set_control_count(count);
-        out
-    }
-
-    fn controls(&self) -> MutexGuard<'_, Controls> {
-        self.controls.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Replaces the control replicas from the settings; returns whether they changed. All other
-    /// known replicas, also those removed from the settings, stay until control lists its members.
+    /// Replaces the control replicas from the settings; returns whether they changed. Those that
+    /// control has named stay in use.
     pub fn set_configured_controls(&self, control: Vec<SocketAddr>) -> bool {
-        self.change_controls(|controls| controls.set_configured(control))
-    }
-
-    fn parents(&self) -> MutexGuard<'_, IndexMap<u64, (SocketAddr, JoinHandle<()>)>> {
-        self.parents.lock().unwrap_or_else(PoisonError::into_inner)
+        self.uplink().set_control(control)
     }
 }
 
--- a/src/daemon/tree/answering.rs
+++ b/src/daemon/tree/answering.rs
@@ -7,7 +7,7 @@
         error::Result,
         model::Version,
         peer,
-        relays::{Event, Subscribe},
+        relays::{Event, StreamEvent, Subscribe},
         tree_wire::{FETCH_PATH, REPORT_PATH, SUBSCRIBE_PATH, VERSION_PATH, VersionAnswer},
         wire,
     },
@@ -24,8 +24,11 @@
                 .await
                 .map(|req| self.open_child_stream(req)),
             REPORT_PATH => peer::read_message(req).await.map(|report| {
-                self.step(Event::Report(report));
-                peer::message_response(&())
+                let reply = self.step_report(report);
+                reply.map_or_else(
+                    || peer::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
+                    |reply| peer::message_response(&reply),
+                )
             }),
             VERSION_PATH => Ok(peer::message_response(&VersionAnswer {
                 version: self.shared.in_force(),
@@ -42,14 +45,14 @@
     }
 
     fn open_child_stream(self: &Arc<Self>, req: Subscribe) -> Response<Body> {
-        let (child, stream) = (req.daemon.clone(), req.stream);
+        let (child, stream) = (req.member.daemon.clone(), req.stream);
         let (response, stream_end) = self.children.open(&child, stream);
-        self.step(Event::Subscribe(req));
+        self.step(Event::Stream(StreamEvent::Subscribe(req)));
         let tree = Arc::clone(self);
         tokio::spawn(async move {
             stream_end.wait().await;
             tree.children.close(&child, stream);
-            tree.step(Event::ChildLost { child, stream });
+            tree.step(Event::Stream(StreamEvent::ChildLost { child, stream }));
         });
         response
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -49,10 +49,6 @@
     ParentChosen = 301,
     /// The stream from the parent ended.
     ParentLost = 302,
-    /// The control leader made a daemon a relay.
-    RelayLeaseGranted = 303,
-    /// A relay lease expired without renewal.
-    RelayLeaseEnded = 304,
     /// A backend server announced itself.
     EndpointAnnounced = 305,
     /// A backend server did not renew its announcement in time.
@@ -162,7 +158,6 @@
             | Self::ProcessStalled
             | Self::VersionRefused
             | Self::ParentLost
-            | Self::RelayLeaseEnded
             | Self::EndpointLapsed
             | Self::AnnouncementRefused
             | Self::ServerEjected
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -243,6 +243,22 @@
         self.leader.as_ref()
     }
 
+    /// Returns the latest time at which this replica was in contact with the quorum: at the leader,
+    /// when the last message of a quorum of the voters had arrived, elsewhere that of the leader.
+    /// `None` before the first contact and during an election that this replica has started.
+    pub fn quorum_contact(&self, now: Instant) -> Option<Instant> {
+        let State::Leader(leader) = &self.state else {
+            return self.last_leader_contact;
+        };
+        let seen = |member: &Member| match leader.peers.get(&member.id) {
+            Some(peer) => Some(peer.last_seen),
+            None => (member.id == self.me.id).then_some(now),
+        };
+        let mut seen: Vec<_> = self.voters().filter_map(seen).collect();
+        seen.sort_unstable_by(|a, b| b.cmp(a));
+        seen.get(self.quorum() - 1).copied()
+    }
+
     /// Returns the member record of this replica.
     pub const fn me(&self) -> &Member {
         &self.me
--- a/src/raft/types.rs
+++ b/src/raft/types.rs
@@ -1,7 +1,7 @@
 //! Identities, log entries and messages of a Raft group.
 
 use {
-    crate::model::Digest,
+    crate::{model::Digest, wire::byte_string},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
@@ -229,38 +229,3 @@
     /// Requests that the recipient start an election immediately (leadership transfer).
     TakeOver,
 }
-
-/// Serializes byte strings as one block instead of a sequence of numbers.
-mod byte_string {
-    use {
-        bytes::Bytes,
-        serde::{Deserializer, Serializer, de},
-        std::fmt,
-    };
-
-    pub(super) fn serialize<S: Serializer>(bytes: &Bytes, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_bytes(bytes)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
-        struct Visitor;
-
-        impl de::Visitor<'_> for Visitor {
-            type Value = Bytes;
-
-            fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str("a byte string")
-            }
-
-            fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Bytes, E> {
-                Ok(Bytes::copy_from_slice(v))
-            }
-
-            fn visit_byte_buf<E: de::Error>(self, v: Vec<u8>) -> Result<Bytes, E> {
-                Ok(Bytes::from(v))
-            }
-        }
-
-        from.deserialize_byte_buf(Visitor)
-    }
-}
--- a/src/relays.rs
+++ b/src/relays.rs
@@ -1,23 +1,29 @@
-//! Distribution tree: relay leases at the config leader, assignment of parents to daemons, updates
-//! from parent to child and reports from child to parent.
+//! Distribution tree: sources send versions, endpoints and the list of control replicas to their
+//! children, and children report to their source.
 //!
-//! Loop freedom: each process has a level (control 0, region relay 1, data centre relay 2, leaf 3,
-//! child of an interim parent 4). A parent accepts only children whose level is greater than its
-//! own. A process may lower its level at any time; before it raises its level it drops all of its
-//! children, and on any change of its level it leaves its parent. The levels therefore decrease
-//! strictly from child to parent along each chain of subscriptions, and no process is its own
-//! ancestor.
+//! Each control replica is a source, and so is each daemon. A source feeds a fixed number of
+//! children; once it has them, it names children of its own that have room, so the number of levels
+//! follows from the number of daemons. A daemon prefers the control replicas of its data centre and
+//! region. Control replicas get the versions from the replicated log; those that do not lead
+//! subscribe to the leader for the endpoints.
 //!
-//! Recovery: a subscription contains the config version and the positions of the endpoint sets at
-//! the child, and the parent sends deltas from there. Heartbeats contain the positions of the sets
-//! at the parent, and a relay reports the sets that are missing there. After a loss, each stream
-//! recovers from these positions; no session state has to be shared.
+//! Loop freedom: each process has a level, 0 for a control replica. A source accepts only daemons
+//! whose level is greater than its own. A daemon may lower its level at any time; before it raises
+//! its level it drops all of its children. The levels therefore decrease strictly from child to
+//! source along each chain of subscriptions, and no daemon is its own ancestor. A control replica
+//! accepts another one only while it leads, and a leader has no source.
+//!
+//! Recovery: a subscription contains the version and digests of the records at the child, and the
+//! source sends what differs. After a loss, each stream recovers from these; no session state has to
+//! be shared, so a stream does not depend on which replica leads.
 
 mod admission;
 mod children;
+mod hub;
 mod messages;
+mod node;
+mod sources;
 mod summary;
-mod table;
 mod uplink;
 
 #[cfg(test)]
@@ -27,49 +33,67 @@
 
 pub use self::{
     admission::Admission,
-    children::Children,
+    children::{Children, Expired, View},
+    hub::{Hub, Leadership},
     messages::{
-        Attach, AttachReply, Attached, FailedParent, MAX_MEMBERS, Member, MemberReport, Parent,
-        RelayRef, Report, Role, Subscribe, SubscribeReply, Update,
+        Attach, AttachReply, Contents, MAX_MESSAGE_RECORDS, Member, ReplicaRef, Report,
+        ReportReply, SourceRef, Subscribe, SubscribeReply, Update,
     },
+    node::{Effect, StreamEvent},
     summary::{DataCentreSummary, Lagging, MAX_LAGGING, MAX_REASON, Summary},
-    table::RelayTable,
-    uplink::{Effect, Event, Uplink, interim_hash},
+    uplink::{Event, Uplink, rendezvous_hash},
 };
 
-/// Duration of a relay lease at the config leader; each report renews it, once a second.
+/// Daemons that a control replica feeds. 384 heartbeats and reports a second take a few percent of a
+/// core.
+pub const CONTROL_CHILDREN: usize = 128;
+
+/// Daemons that a daemon feeds. A change of 10 kB takes 0.2 s of a link of 4 Mbit/s.
+pub const DAEMON_CHILDREN: usize = 8;
+
+/// Time since the last report after which a child counts as lost.
 pub const RELAY_LEASE: Duration = Duration::from_secs(3);
 
-/// Time since the last report of a relay after which one report counts as missed. From then on, a
-/// child that says that the relay has failed causes its replacement.
-pub const MISSED_REPORT_AFTER: Duration = Duration::from_millis(1_500);
+/// Interval of heartbeats to children.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Interval of reports to the source if nothing changes.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for which a new leader appoints no relay in place of the relays of the previous leader, so
-/// that these can report to it first.
-pub const NEW_LEADER_GRACE: Duration = Duration::from_millis(1_500);
+/// Minimum time between two reports.
+pub const REPORT_SPACING: Duration = Duration::from_millis(50);
 
-/// Interval of heartbeats to children and of reports to the parent.
-pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Minimum time between two batches of changed records to the children.
+pub const RECORD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without a frame after which a parent counts as failed: one missed heartbeat and its delay.
-pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a frame after which a source counts as failed: one missed heartbeat and the delay of
+/// the next one.
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_250);
+
+/// Time without a path from a source to a majority of the config group after which its children look
+/// for another source. An election takes less time.
+pub const DETACHED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Timeout of an attach request or a subscription.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Upper bound of the full jitter before the first attach request after the loss of a parent. It
-/// keeps the 325 daemons of a data centre below [`ADMITTED_PER_SECOND`]. It also limits the backoff
-/// of a direct daemon, whose only parent is control.
-pub const FIRST_ATTACH_JITTER: Duration = Duration::from_secs(1);
+/// Upper bound of the full jitter before the first subscription after the loss of a source.
+pub const RECONNECT_JITTER: Duration = Duration::from_millis(250);
 
-/// Upper bound of the full-jitter backoff between further attach requests.
+/// Upper bound of the full-jitter backoff between further requests.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// Attach requests and subscriptions that a process admits per second: the 325 daemons of a data
-/// centre take up to 0.5 s, 2,600 daemons up to 4 s.
+/// Time between two checks of a process after which it counts as paused.
+pub const MAX_PAUSE: Duration = Duration::from_millis(750);
+
+/// Attach requests and subscriptions that a process admits per second.
 pub const ADMITTED_PER_SECOND: u32 = 800;
 
-/// Subscriptions without a config version that a process admits per second. Each needs a full copy
-/// of the configuration: with 5,000 plans and grants about 5 ms and 1.2 MB, so this rate uses half
-/// of a core and 1 Gbit/s.
-pub const FULL_COPIES_PER_SECOND: u32 = 100;
+/// Bytes of full copies of the configuration that a control replica sends per second.
+pub const CONTROL_COPY_RATE: u32 = 8_000_000;
+
+/// Bytes of full copies of the configuration that a daemon sends per second.
+pub const DAEMON_COPY_RATE: u32 = 200_000;
+
+/// Bits of a stream number that count the streams of one incarnation.
+pub const STREAM_BITS: u32 = 20;
--- a/src/relays/admission.rs
+++ b/src/relays/admission.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Sets the number of connections that are admitted per second from now on.
+    pub fn set_rate(&mut self, rate: u32) {
+        self.interval = Duration::from_secs(1) / rate.max(1);
+        self.burst = (rate / BURST_DIVISOR).max(1);
+    }
+
     /// Admits a connection if the rate allows it.
     ///
     /// # Errors
--- a/src/relays/messages.rs
+++ b/src/relays/messages.rs
@@ -4,18 +4,20 @@
 use {
     super::summary::Summary,
     crate::{
-        endpoints::{EndpointDelta, Epoch, Position, Stamp},
-        model::{DaemonName, DataCentre, Endpoint, Region, Version},
+        endpoints::{Record, Stamp},
+        model::{DaemonName, DataCentre, Region, Version},
         versions::DeltaPart,
+        wire::byte_string,
     },
+    bytes::Bytes,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
-/// Maximum number of daemons whose endpoints are in one report.
-pub const MAX_MEMBERS: usize = 512;
+/// Maximum number of records in one report or frame.
+pub const MAX_MESSAGE_RECORDS: usize = 512;
 
-/// Name and location of a daemon.
+/// Name and location of a process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Name.
@@ -28,148 +30,104 @@
     pub region: Region,
 }
 
-/// Relay and the epoch of its lease.
+/// Control replica that serves subscriptions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RelayRef {
-    /// Name.
-    pub daemon: DaemonName,
+pub struct ReplicaRef {
     /// Peer address.
     pub address: SocketAddr,
-    /// Epoch of its lease.
-    pub epoch: Epoch,
-}
-
-/// Parent that failed, as its child reports it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FailedParent {
-    /// Name.
-    pub daemon: DaemonName,
-    /// Consecutive failures of this parent.
-    pub failures: u32,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: Region,
+    /// Whether it is the leader of the config group.
+    pub leads: bool,
 }
 
-/// Request of a daemon to control for a parent.
+/// Request of a daemon to a control replica, sent before its first subscription.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attach {
     /// The daemon.
     pub member: Member,
-    /// Version that it has in force; 0 for none.
-    pub version: Version,
-    /// Its current role.
-    pub role: Role,
-    /// Newest epoch known for the set of its data centre; `None` if the set is unknown.
-    pub newest_epoch: Option<Epoch>,
-    /// The parent that it has lost; `None` once a parent with an intact path to control has
-    /// sent an update.
-    pub failed_parent: Option<FailedParent>,
-}
-
-/// Process at which a daemon has to subscribe.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Parent {
-    /// The control replica that answered.
-    Control,
-    /// Another daemon.
-    Daemon {
-        /// Name.
-        name: DaemonName,
-        /// Peer address.
-        address: SocketAddr,
-    },
-}
-
-/// Role of a daemon in the tree.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Role {
-    /// Has no children, except as an interim parent during an outage of control.
-    Leaf,
-    /// Serves the daemons of its data centre and owns their endpoint set.
-    DataCentreRelay {
-        /// Epoch of the lease.
-        epoch: Epoch,
-    },
-    /// Serves the data centre relays of its region, and is the relay of its own data centre.
-    RegionRelay {
-        /// Epoch of both leases, and of the endpoint set.
-        epoch: Epoch,
-    },
-}
-
-impl Role {
-    /// Returns the level in the tree; see the module documentation.
-    pub const fn level(self) -> u8 {
-        match self {
-            Self::RegionRelay { .. } => 1,
-            Self::DataCentreRelay { .. } => 2,
-            Self::Leaf => 3,
-        }
-    }
-
-    /// Returns the epoch of a relay; `None` for a leaf.
-    pub const fn epoch(self) -> Option<Epoch> {
-        match self {
-            Self::Leaf => None,
-            Self::DataCentreRelay { epoch } | Self::RegionRelay { epoch } => Some(epoch),
-        }
-    }
-}
-
-/// Answer to an admitted [`Attach`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Attached {
-    /// Process to subscribe at.
-    pub parent: Parent,
-    /// Assigned role.
-    pub role: Role,
-    /// Minimum version that may be in force; `None` if check-quorum didn't confirm that the
-    /// replica is still the leader.
-    pub floor: Option<Version>,
-    /// Term of the leader.
-    pub term: u64,
 }
 
 /// Answer to an [`Attach`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttachReply {
-    /// Admitted.
-    Attached(Attached),
-    /// Refused by rate limiting, or while a new leader waits for the existing relays.
+    /// What the daemon needs to subscribe.
+    Attached {
+        /// Minimum version that may be in force; `None` if no majority of the config group has
+        /// confirmed it.
+        floor: Option<Version>,
+        /// Control replicas that serve subscriptions, with the one that answers.
+        replicas: Vec<ReplicaRef>,
+    },
+    /// Refused by rate limiting.
     Refused {
         /// Delay before the next request, in milliseconds.
         retry_after_ms: u32,
     },
-    /// This replica is not the leader of the config group.
-    NotLeader {
-        /// Index of the leader in the list of control addresses; `None` if unknown.
-        leader: Option<u32>,
-    },
 }
 
-/// Subscription of a child to its parent.
+/// Subscription of a child to its source.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Subscribe {
     /// The child.
-    pub daemon: DaemonName,
+    pub member: Member,
+    /// Whether the child is a control replica, which gets the configuration from the replicated
+    /// log.
+    pub replica: bool,
     /// Its level in the tree.
     pub level: u8,
-    /// Stream number, assigned by the child; increases, also across restarts.
+    /// Stream number, assigned by the child; contains its incarnation.
     pub stream: u64,
     /// Version at the child; 0 requests a full copy.
     pub version: Version,
-    /// Positions of the endpoint sets at the child.
-    pub positions: Vec<Position>,
+    /// Digests of the records at the child; none requests all records.
+    pub digests: Vec<u64>,
+    /// Records of the subtree of the child, with its own.
+    pub records: Vec<Record>,
+    /// Number of children that the child can feed in addition to those it has.
+    pub room: u16,
+    /// Whether the child has left a source without a path to a majority of the config group, and wants
+    /// no other one of that kind.
+    pub needs_path: bool,
+    /// Whether the child asks for the digests of the source, since its records have differed from
+    /// those of the source for long.
+    pub compares: bool,
+}
+
+/// Process at which a daemon can subscribe in place of the one that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SourceRef {
+    /// Name.
+    pub daemon: DaemonName,
+    /// Peer address.
+    pub address: SocketAddr,
 }
 
 /// Answer to a [`Subscribe`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubscribeReply {
     /// Updates follow on the stream.
-    Accepted,
-    /// Refused by rate limiting or by the limit of children.
+    Accepted {
+        /// Milliseconds since the source lost its path to a majority of the config group; 0 if the
+        /// path is intact.
+        detached_ms: u32,
+        /// Digests of the records at the source, if the child has asked for them.
+        digests: Vec<u64>,
+    },
+    /// Refused by rate limiting.
     Refused {
         /// Delay before the next subscription, in milliseconds.
         retry_after_ms: u32,
     },
+    /// The source feeds as many children as it can.
+    Full {
+        /// Children that feed less than they can, those near the daemon first.
+        next: Vec<SourceRef>,
+    },
+    /// The source has no path to a majority of the config group, which the child needs.
+    Detached,
     /// The level of the child is not greater than the level of this process.
     WrongLevel {
         /// Level of this process.
@@ -177,52 +135,66 @@
     },
 }
 
-/// One frame from a parent to its child.
+/// One frame from a source to its child.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// Stream number.
     pub stream: u64,
     /// Sequence number of the frame in the stream, from 1.
     pub number: u64,
-    /// Milliseconds since the parent lost its path to control; 0 if the path is intact.
+    /// Milliseconds since the source lost its path to a majority of the config group; 0 if the path
+    /// is intact.
     pub detached_ms: u32,
-    /// Part of a config delta; `None` if the frame contains no config change.
-    pub config: Option<DeltaPart>,
-    /// Deltas of endpoint sets.
-    pub sets: Vec<EndpointDelta>,
-    /// Positions of the endpoint sets at the parent; `None` except in heartbeats.
-    pub positions: Option<Vec<Position>>,
+    /// Encoded [`Contents`], which many children share.
+    #[serde(with = "byte_string")]
+    pub contents: Bytes,
 }
 
-/// Endpoints of the backend servers beside one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberReport {
-    /// The daemon.
-    pub daemon: DaemonName,
-    /// Orders the reports of the daemon.
-    pub stamp: Stamp,
-    /// All endpoints of the daemon.
-    pub endpoints: Vec<Endpoint>,
+/// Contents of a frame.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contents {
+    /// Part of a config delta; `None` if the frame contains no config change.
+    pub config: Option<DeltaPart>,
+    /// Records, at most [`MAX_MESSAGE_RECORDS`].
+    pub records: Vec<Record>,
+    /// Control replicas; `None` if they are unchanged.
+    pub replicas: Option<Vec<ReplicaRef>>,
+    /// Digest of the records at the source after this frame; `None` except in heartbeats.
+    pub digest: Option<u64>,
 }
 
-/// Report of a child to its parent, sent each second and on change.
+/// Report of a child to its source, sent each second and on change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// The child.
-    pub member: Member,
-    /// Its role.
-    pub role: Role,
+    /// Name of the child.
+    pub daemon: DaemonName,
     /// Its stream number.
     pub stream: u64,
+    /// Number of the report, from 1.
+    pub number: u64,
     /// Sequence number of the last frame that it has processed.
     pub last_frame: u64,
     /// Its config version, in force or not.
     pub version: Version,
-    /// Endpoints of daemons whose data centre has no relay in the subtree of the child; at most
-    /// [`MAX_MEMBERS`] daemons.
-    pub members: Vec<MemberReport>,
-    /// Deltas of endpoint sets that are missing at the parent.
-    pub sets: Vec<EndpointDelta>,
+    /// Changed records of the subtree of the child, at most [`MAX_MESSAGE_RECORDS`].
+    pub records: Vec<Record>,
+    /// Daemons that have left the subtree of the child, with the stamps of their records.
+    pub lost: Vec<(DaemonName, Stamp)>,
+    /// Records that the source may lack although the daemons are not in the subtree of the child.
+    pub other_records: Vec<Record>,
+    /// Number of children that the child can feed in addition to those it has.
+    pub room: u16,
     /// Versions in force at the child and its descendants.
     pub summary: Summary,
 }
+
+/// Answer to a [`Report`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// Whether the report belongs to the current stream of a child.
+    pub known: bool,
+    /// Version of the source when it answered.
+    pub version: Version,
+    /// Milliseconds since that version was known to be the newest; `None` if it never was.
+    pub age_ms: Option<u32>,
+}
--- a/src/relays/summary.rs
+++ b/src/relays/summary.rs
@@ -1,8 +1,7 @@
 //! Aggregated report of the versions in force in a subtree, bounded in size.
 
 use {
-    super::messages::RelayRef,
-    crate::model::{DaemonName, DataCentre, Version},
+    crate::model::{DaemonName, DataCentre, Region, Version},
     serde::{Deserialize, Serialize},
 };
 
@@ -31,12 +30,14 @@
 pub struct DataCentreSummary {
     /// The data centre.
     pub data_centre: DataCentre,
-    /// Its relay; `None` if the relay doesn't report.
-    pub relay: Option<RelayRef>,
+    /// Its region.
+    pub region: Region,
     /// Number of daemons that report.
     pub daemons: u32,
     /// Lowest version in force; 0 while a daemon has none.
     pub lowest: Version,
+    /// Lowest version by which a daemon routes calls; `None` while none has a version in force.
+    pub lowest_routing: Option<Version>,
     /// Highest version in force.
     pub highest: Version,
     /// The daemons with the lowest versions among the lagging ones, at most [`MAX_LAGGING`].
@@ -48,7 +49,7 @@
     /// lag, `None` if it reports no reason.
     pub fn of_daemon(
         daemon: &DaemonName,
-        data_centre: &DataCentre,
+        (data_centre, region): (&DataCentre, &Region),
         version: Version,
         reason: Option<&str>,
     ) -> Self {
@@ -59,23 +60,20 @@
         });
         Self {
             data_centre: data_centre.clone(),
-            relay: None,
+            region: region.clone(),
             daemons: 1,
             lowest: version,
+            lowest_routing: (version > Version(0)).then_some(version),
             highest: version,
             lagging: lagging.into_iter().collect(),
         }
     }
 
     fn merge(&mut self, other: &Self) {
-        // Keeps the relay with the newer epoch: an older one has been replaced.
-        if other.relay.as_ref().map(|relay| relay.epoch)
-            > self.relay.as_ref().map(|relay| relay.epoch)
-        {
-            self.relay.clone_from(&other.relay);
-        }
         self.daemons = self.daemons.saturating_add(other.daemons);
         self.lowest = self.lowest.min(other.lowest);
+        let routing = [self.lowest_routing, other.lowest_routing];
+        self.lowest_routing = routing.into_iter().flatten().min();
         self.highest = self.highest.max(other.highest);
         self.lagging
             .extend(other.lagging.iter().take(MAX_LAGGING).cloned());
@@ -120,4 +118,10 @@
     pub fn lowest(&self) -> Option<Version> {
         self.data_centres.iter().map(|part| part.lowest).min()
     }
+
+    /// Returns the lowest version by which a daemon routes calls; `None` if none does.
+    pub fn lowest_routing(&self) -> Option<Version> {
+        let parts = self.data_centres.iter();
+        parts.filter_map(|part| part.lowest_routing).min()
+    }
 }
--- a/src/relays/uplink.rs
+++ b/src/relays/uplink.rs
@@ -1,33 +1,87 @@
-//! State machine of one daemon in the tree: its parent, its copies of the configuration and the
-//! endpoint sets, and its children.
+//! State machine of one daemon in the tree: which source it uses, and what it publishes.
 
-mod attach;
-mod event;
-mod interim;
-mod link;
-mod sets;
+mod peers;
 
 use {
-    self::{attach::ControlRequests, interim::Peers, link::Link},
-    super::{Children, FailedParent, HEARTBEAT, Member, MemberReport, Role, Subscribe},
+    self::peers::Peers,
+    super::{
+        ANSWER_TIMEOUT, Attach, AttachReply, Children, DAEMON_CHILDREN, DAEMON_COPY_RATE,
+        DETACHED_TIMEOUT, DataCentreSummary, MAX_BACKOFF, Member, ReplicaRef, SourceRef,
+        StreamEvent, Summary,
+        node::{Effect, Node, Outcome, Source},
+        sources::{Sources, jitter},
+    },
     crate::{
-        endpoints::{Directory, Epoch, MAX_REPORTED_ENDPOINTS, OwnedSet, Stamp},
+        endpoints::{Directory, MAX_REPORTED_ENDPOINTS, Origin, Record, Stamp},
+        error::Result,
         model::{Config, DaemonName, Endpoint, Version},
-        versions::{ConfigStore, DeltaAssembler, DeltaPart},
+        versions::{ConfigStore, DeltaPart, split_delta},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
     },
-    indexmap::IndexMap,
-    std::{net::SocketAddr, sync::Arc, time::Instant},
 };
 
-pub use self::{
-    event::{Effect, Event},
-    interim::interim_hash,
-};
+pub use super::sources::rendezvous_hash;
+
+/// Base of the exponential backoff between attach requests; it doubles once per round of all
+/// replicas.
+const ATTACH_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Time since a newer version was seen at a peer after which the source counts as stale; an edit
+/// propagates through the tree in less time.
+const STALE_SOURCE_AFTER: Duration = Duration::from_secs(2);
+
+/// Highest level of a daemon; bounds the number of processes that an edit passes.
+const MAX_LEVEL: u8 = 16;
+
+/// Input of the state machine.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Runs the timers; has to be sent at least every 100 ms.
+    Tick,
+    /// Answer of a control replica to an attach request.
+    Attached {
+        /// Peer address of the replica.
+        address: SocketAddr,
+        /// The answer; `None` if the replica is unreachable.
+        reply: Option<AttachReply>,
+    },
+    /// Event of a stream from the source or to a child.
+    Stream(StreamEvent),
+    /// Version in force at a peer, from an answer or from the headers of a call.
+    PeerVersion {
+        /// The peer.
+        peer: DaemonName,
+        /// Version that the peer has in force; `None` if it has none.
+        version: Option<Version>,
+    },
+    /// Parts of a config delta that were fetched from a peer.
+    Fetched(Vec<DeltaPart>),
+    /// The endpoints beside this daemon have changed.
+    Endpoints(Vec<Endpoint>),
+    /// Asks the source whether there is a newer version.
+    Confirm,
+}
+
+/// Attach requests to control.
+#[derive(Clone, Debug)]
+struct AttachRequests {
+    /// Replica with a request in flight, and when it counts as failed.
+    in_flight: Option<(SocketAddr, Instant)>,
+    next_at: Instant,
+    /// Position of the next replica in the settings.
+    next: usize,
+    /// Consecutive requests without a confirmed floor.
+    failures: u32,
+}
 
 /// State machine of one daemon in the distribution tree.
 ///
 /// ```
-/// use {anvilbeam::relays::*, std::time::{Duration, Instant}};
+/// use {anvilbeam::relays::*, std::time::Instant};
 /// let now = Instant::now();
 /// let member = Member {
 ///     daemon: "daemon-1".into(),
@@ -35,158 +89,135 @@
 ///     data_centre: "dc-1".into(),
 ///     region: "fukuoka".into(),
 /// };
-/// let mut uplink = Uplink::new(member, 1, 3, now);
-/// let effects = uplink.step(now + Duration::from_secs(1), 7, Event::Tick);
-/// assert!(effects.iter().any(|effect| matches!(effect, Effect::AskControl { .. })));
+/// let control = vec![([10, 0, 0, 9], 7000).into()];
+/// let mut uplink = Uplink::new(member, 1, control, now);
+/// let effects = uplink.step(now, 7, Event::Tick);
+/// assert!(matches!(effects[0], Effect::Attach { .. }));
 /// assert!(uplink.in_force().is_none());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Uplink {
-    member: Member,
-    incarnation: u64,
-    control_count: u32,
-    /// Daemons of the data centre, with their peer addresses.
-    members: IndexMap<DaemonName, SocketAddr>,
-    store: ConfigStore,
-    directory: Directory,
-    pending_parts: DeltaAssembler,
-    /// Endpoint set of the data centre; `None` unless this daemon is its owner.
-    own_set: Option<OwnedSet>,
-    /// Epoch of this daemon whose set has no known state to start from yet, and when the epoch was
-    /// assigned; `None` if no epoch is pending.
-    pending_epoch: Option<(Epoch, Instant)>,
-    /// Epoch of a newer owner of the set in `own_set`, seen in the directory or in a subscription;
-    /// `None` if none has been seen since the role was last assigned.
-    newer_epoch: Option<Epoch>,
+    node: Node,
+    sources: Sources,
+    attach: AttachRequests,
+    peers: Peers,
+    /// Whether the source is a peer that was chosen while control was unreachable.
+    at_peer: bool,
     /// Endpoints of the backend servers beside this daemon.
     endpoints: Vec<Endpoint>,
-    /// Number of the last report about the endpoints of this daemon.
-    report_count: u64,
-    /// Reports of other daemons to forward to the parent.
-    reports_to_forward: IndexMap<DaemonName, MemberReport>,
-    role: Role,
-    level: u8,
-    /// Highest term of a control leader that has answered.
-    term: u64,
-    /// Subscription at the parent; `None` without a parent.
-    link: Option<Link>,
-    /// Number of the last stream to a parent.
-    last_stream: u64,
-    control_requests: ControlRequests,
-    /// Last parent that failed; `None` once a parent with an intact path to control has sent an
-    /// update.
-    failed_parent: Option<FailedParent>,
-    /// Since when the path to control is interrupted; `None` if it is intact.
-    detached_since: Option<Instant>,
-    peers: Peers,
-    children: Children,
+    /// Stamp of the own record; `None` before the first.
+    stamp: Option<Stamp>,
+    incarnation: u64,
+    /// Change of the list of control replicas by which the sources are ranked.
+    ranked_changes: u64,
+    /// Whether a source may have accepted a subscription with the current record.
+    record_sent: bool,
     /// Last version in an [`Effect::Publish`]; `None` before the first.
     published_version: Option<Version>,
-    next_report: Instant,
-    /// When the last report was sent; `None` before the first.
-    last_report: Option<Instant>,
-    /// Last error that may make this daemon lag; `None` once a config delta has been applied.
-    lag_reason: Option<String>,
     /// State of the random number generator in the current step.
     rng_state: u64,
-    /// Whether control is the only allowed parent.
-    direct: bool,
 }
 
 impl Uplink {
     /// Creates the state of a daemon that has just started and has no stored state. `incarnation`
-    /// increases with each start; `control_count` is the number of control addresses.
-    pub fn new(member: Member, incarnation: u64, control_count: u32, now: Instant) -> Self {
+    /// increases with each start, such as the milliseconds since 1970; `control` are the peer
+    /// addresses of control replicas.
+    pub fn new(member: Member, incarnation: u64, control: Vec<SocketAddr>, now: Instant) -> Self {
+        let children = Children::new(DAEMON_CHILDREN, DAEMON_COPY_RATE, now);
         Self {
-            member,
-            incarnation,
-            control_count: control_count.max(1),
-            members: IndexMap::new(),
-            store: ConfigStore::new(),
-            directory: Directory::default(),
-            pending_parts: DeltaAssembler::default(),
-            own_set: None,
-            pending_epoch: None,
-            newer_epoch: None,
-            endpoints: Vec::new(),
-            report_count: 0,
-            reports_to_forward: IndexMap::new(),
-            role: Role::Leaf,
-            level: Role::Leaf.level(),
-            term: 0,
-            link: None,
-            last_stream: incarnation << 32,
-            control_requests: ControlRequests::new(now),
-            failed_parent: None,
-            detached_since: Some(now),
+            sources: Sources::new(&member, control, now),
+            node: Node::new(member, false, incarnation, children, now),
+            attach: AttachRequests {
+                in_flight: None,
+                next_at: now,
+                next: 0,
+                failures: 0,
+            },
             peers: Peers::default(),
-            children: Children::new(now),
+            at_peer: false,
+            endpoints: Vec::new(),
+            stamp: None,
+            incarnation,
+            ranked_changes: 0,
+            record_sent: false,
             published_version: None,
-            next_report: now,
-            last_report: None,
-            lag_reason: None,
             rng_state: 0,
-            direct: false,
         }
     }
 
-    /// Makes control the only allowed parent. The daemon is then the only member of its data
-    /// centre in the tree.
+    /// Sets the number of daemons that this process feeds, for a VM of another size.
     #[must_use]
-    pub const fn direct(mut self) -> Self {
-        self.direct = true;
+    pub const fn feeding(mut self, daemons: usize) -> Self {
+        self.node.children.set_limit(daemons);
         self
     }
 
-    /// Sets the number of control addresses.
-    pub fn set_control_count(&mut self, control_count: u32) {
-        self.control_count = control_count.max(1);
+    /// Replaces the control replicas from the settings; returns whether they changed.
+    pub fn set_control(&mut self, control: Vec<SocketAddr>) -> bool {
+        self.sources.set_configured(&self.node.member, control)
     }
 
-    /// Returns the configuration in force; `None` until the floor is known and reached.
+    /// Returns the name of the daemon.
+    pub const fn name(&self) -> &DaemonName {
+        &self.node.member.daemon
+    }
+
+    /// Returns the configuration in force; `None` until the floor is known and reached, and before
+    /// the first edit.
     pub fn in_force(&self) -> Option<&Arc<Config>> {
-        self.store.in_force()
+        let cfg = self.node.store.in_force()?;
+        (cfg.version > Version(0)).then_some(cfg)
     }
 
     /// Returns the store of the configuration.
     pub const fn store(&self) -> &ConfigStore {
-        &self.store
+        &self.node.store
     }
 
-    /// Returns the endpoint sets of all data centres.
+    /// Returns the endpoints of all daemons.
     pub const fn directory(&self) -> &Directory {
-        &self.directory
-    }
-
-    /// Returns the role in the tree.
-    pub const fn role(&self) -> Role {
-        self.role
+        &self.node.directory
     }
 
     /// Returns the level in the tree; see the module documentation.
     pub const fn level(&self) -> u8 {
-        self.level
+        self.node.level
     }
 
-    /// Returns the name of the parent and the stream number; the name is `None` if control is the
-    /// parent.
-    pub fn parent(&self) -> Option<(Option<&DaemonName>, u64)> {
-        let link = self.link.as_ref()?;
-        Some((link.daemon(), link.stream))
+    /// Returns the peer address of the source and the stream number; `None` without a source.
+    pub fn source(&self) -> Option<(SocketAddr, u64)> {
+        let link = self.node.link.as_ref()?;
+        Some((link.source.address, link.stream))
     }
 
     /// Returns the children.
     pub const fn children(&self) -> &Children {
-        &self.children
+        &self.node.children
+    }
+
+    /// Returns the control replicas that are known.
+    pub fn replicas(&self) -> &[ReplicaRef] {
+        &self.node.replicas
+    }
+
+    /// Returns the number of changes of the control replicas so far.
+    pub const fn replica_changes(&self) -> u64 {
+        self.node.replica_changes
+    }
+
+    /// Returns the latest time at which no newer version existed than this daemon has; `None` before
+    /// a source has told.
+    pub const fn current_at(&self) -> Option<Instant> {
+        self.node.current_at
     }
 
     /// Returns the parts of the config delta for a peer at `version`; empty if the peer is current.
     ///
     /// # Errors
     /// [`crate::error::Error::TooLarge`] if the delta needs too many parts.
-    pub fn config_parts_since(&self, version: Version) -> crate::error::Result<Vec<DeltaPart>> {
-        let delta = self.store.delta_since(version);
-        delta.map_or(Ok(Vec::new()), crate::versions::split_delta)
+    pub fn config_parts_since(&self, version: Version) -> Result<Vec<DeltaPart>> {
+        let delta = self.node.store.delta_since(version);
+        delta.map_or(Ok(Vec::new()), split_delta)
     }
 
     /// Processes one event and returns its effects. `random` is a fresh random number, from which
@@ -196,139 +227,343 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
-            Event::Attach { control, reply } => self.on_attach_reply(now, control, reply, &mut out),
-            Event::Subscribed { stream, reply } => {
-                self.on_subscribe_reply(now, stream, reply.as_ref(), &mut out);
+            Event::Attached { address, reply } => {
+                self.on_attach_reply(now, address, reply, &mut out);
+            }
+            Event::Stream(event) => {
+                let outcome = self.node.handle(now, event, &mut out);
+                self.rank_sources();
+                self.follow(now, outcome, &mut out);
             }
-            Event::Update(update) => self.on_update(now, update, &mut out),
-            Event::FramePart { stream } => self.on_frame_part(now, stream),
-            Event::StreamLost { stream } => self.on_stream_lost(now, stream, &mut out),
             Event::PeerVersion { peer, version } => self.on_peer_version(now, peer, version),
             Event::Fetched(parts) => self.on_fetched(parts),
-            Event::Members(members) => self.members = members.into_iter().collect(),
-            Event::Endpoints(endpoints) => {
-                self.endpoints = endpoints;
-                if self.endpoints.len() > MAX_REPORTED_ENDPOINTS {
-                    let count = self.endpoints.len();
-                    self.lag_reason = Some(format!(
-                        "{count} endpoints exceed the limit of {MAX_REPORTED_ENDPOINTS}"
-                    ));
-                    self.endpoints.truncate(MAX_REPORTED_ENDPOINTS);
-                }
-                self.next_report = now;
-                self.report_own_endpoints(now);
+            Event::Endpoints(endpoints) => self.set_endpoints(now, endpoints, &mut out),
+            Event::Confirm => {
+                self.node.next_report = now;
+                self.report_if_due(now, &mut out);
             }
-            Event::Subscribe(req) => self.on_subscribe(now, &req, &mut out),
-            Event::Report(report) => self.on_report(now, report, &mut out),
-            Event::ChildLost { child, stream } => self.children.stream_ended(&child, stream),
         }
-        self.sync_own_set(now, &mut out);
+        self.defend_record(now, &mut out);
         self.publish(now, &mut out);
-        self.serve_children(now, &mut out);
+        self.node.serve_children(now, &mut out);
         out
     }
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        self.children.expire(now);
-        self.directory.expire(now);
-        if let Some(own_set) = &mut self.own_set
-            && own_set.expire(now)
-        {
-            self.next_report = now;
-        }
-        self.check_link(now, out);
+        self.node.expire(now, out);
+        let outcome = self.node.check_link(now, out);
+        self.follow(now, outcome, out);
         self.check_peers(now, out);
-        self.check_control_requests(now, out);
-        self.check_interim(now, out);
-        self.send_report_if_due(now, out);
+        self.check_attach(now, out);
+        self.check_source(now, out);
+        self.report_if_due(now, out);
     }
 
-    fn publish(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        let Some(cfg) = self.store.in_force() else {
+    fn report_if_due(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.node.send_report_if_due(now, summary, out);
+    }
+
+    /// Chooses the next source after an event of the stream from the current one.
+    fn follow(&mut self, now: Instant, outcome: Outcome, out: &mut Vec<Effect>) {
+        let random = self.next_random();
+        match outcome {
+            Outcome::None => {}
+            Outcome::Accepted => self.sources.accepted(),
+            Outcome::Lost(source, reason) => {
+                let was_accepted = self.node.link.as_ref().is_some_and(|link| link.accepted);
+                self.node.disconnect(now, reason, out);
+                if let Some(daemon) = &source.daemon {
+                    self.peers.exclude(daemon, now);
+                }
+                self.sources.failed(&source, was_accepted, now, random);
+                self.check_source(now, out);
+            }
+            Outcome::Ended(source) => {
+                self.node.disconnect(now, "the stream ended", out);
+                self.sources.failed(&source, true, now, random);
+                // A daemon drops its children when its level rises, and then has room for them.
+                if let Some(daemon) = source.daemon {
+                    let address = source.address;
+                    self.sources.try_again(SourceRef { daemon, address });
+                }
+                self.check_source(now, out);
+            }
+            Outcome::Full(next) => {
+                self.record_sent = false;
+                self.node.disconnect(now, "the source is full", out);
+                self.sources.redirected(next, now, random);
+                self.check_source(now, out);
+            }
+            Outcome::Detached(source) => {
+                self.record_sent = false;
+                self.node.disconnect(now, "the source is detached", out);
+                // An interrupted source is better than none.
+                self.node.needs_path = !self.sources.is_detached(&source, now);
+                self.check_source(now, out);
+            }
+            Outcome::WrongLevel(source, level) => {
+                self.record_sent = false;
+                self.node.disconnect(now, "the level is too low", out);
+                if level >= MAX_LEVEL {
+                    self.sources.failed(&source, false, now, random);
+                } else {
+                    self.connect(now, source, level + 1, "the level is too low", out);
+                }
+            }
+        }
+        if self.node.detached_since.is_none() {
+            self.node.needs_path = false;
+            self.sources.end_search(now);
+        }
+    }
+
+    /// Returns whether no control replica has answered for a whole round.
+    fn control_unreachable(&self) -> bool {
+        let replicas = self.sources.count().max(1) as u32;
+        self.sources.failures >= replicas || self.attach.failures >= replicas
+    }
+
+    fn check_attach(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if let Some((address, deadline)) = self.attach.in_flight {
+            if now >= deadline {
+                self.on_attach_reply(now, address, None, out);
+            }
             return;
+        }
+        let needed = self.node.store.floor().is_none() || self.at_peer;
+        let configured = self.sources.configured();
+        if !needed || now < self.attach.next_at || configured.is_empty() {
+            return;
+        }
+        let address = configured[self.attach.next % configured.len()];
+        self.attach.next += 1;
+        self.attach.in_flight = Some((address, now + ANSWER_TIMEOUT));
+        let attach = Attach {
+            member: self.node.member.clone(),
         };
-        if self.published_version < Some(cfg.version) {
-            self.published_version = Some(cfg.version);
-            // Reports at once: operators wait for the version to be in force, and the next periodic
-            // report may be a second away.
-            self.next_report = Instant::min(self.next_report, now);
-            out.push(Effect::Publish(Arc::clone(cfg)));
+        out.push(Effect::Attach { address, attach });
+    }
+
+    fn on_attach_reply(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        reply: Option<AttachReply>,
+        out: &mut Vec<Effect>,
+    ) {
+        if self
+            .attach
+            .in_flight
+            .take_if(|(asked, _)| *asked == address)
+            .is_none()
+        {
+            return;
+        }
+        match reply {
+            Some(AttachReply::Attached { floor, replicas }) => {
+                self.learn_replicas(replicas);
+                if let Some(floor) = floor {
+                    self.on_floor(now, floor, out);
+                    return;
+                }
+            }
+            Some(AttachReply::Refused { retry_after_ms }) => {
+                let wait = Duration::from_millis(retry_after_ms.into());
+                self.attach.next_at = now + wait;
+                return;
+            }
+            None => {}
+        }
+        self.attach.failures = self.attach.failures.saturating_add(1);
+        let rounds = self.attach.failures / self.sources.configured().len().max(1) as u32;
+        let bound = (ATTACH_BACKOFF * 2_u32.pow(rounds.min(5))).min(MAX_BACKOFF);
+        self.attach.next_at = now + jitter(bound, self.next_random());
+        self.check_attach(now, out);
+    }
+
+    fn learn_replicas(&mut self, replicas: Vec<ReplicaRef>) {
+        if !replicas.is_empty() {
+            self.node.set_replicas(replicas);
         }
+        self.rank_sources();
     }
 
-    fn serve_children(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        let elapsed = self
+    fn rank_sources(&mut self) {
+        if self.ranked_changes != self.node.replica_changes {
+            self.ranked_changes = self.node.replica_changes;
+            self.sources.rank(&self.node.member, &self.node.replicas);
+        }
+    }
+
+    /// Sets the minimum version that a majority of the config group has confirmed.
+    fn on_floor(&mut self, now: Instant, floor: Version, out: &mut Vec<Effect>) {
+        self.attach.failures = 0;
+        self.sources.failures = 0;
+        self.node.store.raise_floor(floor.max(self.peers.highest()));
+        if self.at_peer {
+            self.at_peer = false;
+            self.node.disconnect(now, "control is reachable again", out);
+        }
+        if self.node.link.is_none() {
+            self.sources.retry_at = now;
+            self.check_source(now, out);
+        }
+    }
+
+    fn check_source(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let Some(link) = &self.node.link else {
+            let may_subscribe = self.node.store.floor().is_some() || self.control_unreachable();
+            if may_subscribe && now >= self.sources.retry_at {
+                self.connect_next(now, "no source", out);
+            }
+            return;
+        };
+        if !link.accepted || self.at_peer {
+            return;
+        }
+        let source = link.source.clone();
+        let detached = self
+            .node
             .detached_since
-            .map(|since| now.duration_since(since).as_millis());
-        let detached_ms = elapsed.map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX).max(1));
-        match self
-            .children
-            .frames(&self.store, &self.directory, detached_ms, now)
-        {
-            Ok(frames) => out.extend(
-                frames
-                    .into_iter()
-                    .map(|(child, update)| Effect::Update { child, update }),
-            ),
-            Err(e) => self.lag_reason = Some(e.to_string()),
+            .is_some_and(|since| now >= since + DETACHED_TIMEOUT);
+        let stale = self
+            .peers
+            .newer_since()
+            .is_some_and(|since| now >= since + STALE_SOURCE_AFTER);
+        let random = self.next_random();
+        if detached || stale {
+            if now >= self.sources.next_search {
+                self.sources.begin_search(&source, now, random);
+                self.node.needs_path = true;
+                let reason = if detached {
+                    "the source is detached"
+                } else {
+                    "a peer has a newer version"
+                };
+                self.connect_next(now, reason, out);
+            }
+        } else if let Some(nearer) = self.sources.nearer(&source, now, random) {
+            self.at_peer = false;
+            self.connect(now, nearer, 1, "another replica is nearer", out);
         }
     }
 
-    fn on_subscribe(&mut self, now: Instant, req: &Subscribe, out: &mut Vec<Effect>) {
-        let reply = self.children.subscribe(req, self.level, now);
-        let mine = req
-            .positions
-            .iter()
-            .find(|held| held.data_centre == self.member.data_centre);
-        if let (Some(held), Some(own_set)) = (mine, &self.own_set)
-            && held.epoch > own_set.epoch()
-        {
-            self.newer_epoch = self.newer_epoch.max(Some(held.epoch));
+    fn connect_next(&mut self, now: Instant, reason: &'static str, out: &mut Vec<Effect>) {
+        if self.sources.failures >= self.sources.count() as u32 && !self.sources.is_redirected() {
+            self.subscribe_at_peer(now, out);
+            if self.node.link.is_some() {
+                return;
+            }
+        }
+        if let Some(next) = self.sources.next(now) {
+            // A peer names its children in its place.
+            self.at_peer &= next.source.daemon.is_some();
+            self.connect(now, next.source, next.level, reason, out);
+        }
+    }
+
+    fn connect(
+        &mut self,
+        now: Instant,
+        source: Source,
+        level: u8,
+        reason: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
+        // A newer record tells the former source that the daemon is subscribed elsewhere.
+        if self.record_sent && self.stamp.is_some() {
+            self.write_record(now, out);
+        }
+        self.record_sent = true;
+        self.node.connect(now, source, level, reason, out);
+    }
+
+    fn set_endpoints(&mut self, now: Instant, endpoints: Vec<Endpoint>, out: &mut Vec<Effect>) {
+        if endpoints == self.endpoints {
+            return;
         }
-        out.push(Effect::Answer {
-            child: req.daemon.clone(),
-            stream: req.stream,
-            reply,
-        });
-    }
-
-    /// Sets the level before a subscription. Drops all children before the level is raised, which
-    /// keeps the tree free of loops.
-    fn set_level(&mut self, level: u8, out: &mut Vec<Effect>) {
-        if level > self.level && !self.children.is_empty() {
-            out.push(Effect::DropChildren(self.children.clear()));
+        self.endpoints = endpoints;
+        if self.endpoints.len() > MAX_REPORTED_ENDPOINTS {
+            let count = self.endpoints.len();
+            self.node.lag_reason = Some(format!(
+                "{count} endpoints exceed the limit of {MAX_REPORTED_ENDPOINTS}"
+            ));
+            self.endpoints.truncate(MAX_REPORTED_ENDPOINTS);
         }
-        self.level = level;
+        self.write_record(now, out);
+        self.node.next_report = now;
     }
 
-    fn next_stamp(&mut self) -> Stamp {
-        self.report_count += 1;
-        Stamp {
+    /// Writes the own record with a newer stamp.
+    fn write_record(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let daemon = self.node.member.daemon.clone();
+        let first = Stamp {
             incarnation: self.incarnation,
-            number: self.report_count,
+            ..Stamp::default()
+        };
+        let known = self.node.directory.get(&daemon);
+        let known = known.map(|record| record.stamp).max(self.stamp);
+        let stamp = known.map_or(first, |known| known.next().max(first));
+        self.stamp = Some(stamp);
+        let record = Record {
+            daemon,
+            stamp,
+            endpoints: self.endpoints.clone(),
+        };
+        self.node
+            .apply_records(now, vec![record], Origin::Elsewhere, out);
+    }
+
+    /// Replaces the own record if it comes from an earlier run or has lapsed.
+    fn defend_record(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let known = self.node.directory.get(&self.node.member.daemon);
+        let known = known.map(|record| record.stamp);
+        if self.stamp.is_some() && known > self.stamp {
+            self.write_record(now, out);
+            self.node.next_report = now;
         }
     }
 
-    /// Returns the next random number of this step.
-    const fn next_random(&mut self) -> u64 {
-        // SplitMix64 derives several numbers from the one random number of the step.
+    fn publish(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let Some(cfg) = self.in_force() else {
+            return;
+        };
+        if self.published_version < Some(cfg.version) {
+            let cfg = Arc::clone(cfg);
+            self.published_version = Some(cfg.version);
+            // Reports at once: operators wait for the version to be in force, and the next periodic
+            // report may be a second away.
+            self.node.next_report = Instant::min(self.node.next_report, now);
+            out.push(Effect::Publish(cfg));
+        }
+    }
+
+    /// Returns the next random number of this step (`SplitMix64`).
+    fn next_random(&mut self) -> u64 {
         self.rng_state = self.rng_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mixed = (self.rng_state ^ (self.rng_state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = self.rng_state;
+        let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         mixed ^ (mixed >> 31)
     }
+}
 
-    /// Returns a time between `now` and `now + bound` (full jitter).
-    fn jitter(&mut self, now: Instant, bound: std::time::Duration) -> Instant {
-        let nanos = u64::try_from(bound.as_nanos()).unwrap_or(u64::MAX).max(1);
-        now + std::time::Duration::from_nanos(self.next_random() % nanos)
-    }
-
-    fn report_due(&self, now: Instant) -> bool {
-        // Limits the report rate of a relay whose set changes many times a second.
-        let spaced = self
-            .last_report
-            .is_none_or(|last| now >= last + HEARTBEAT / 10);
-        now >= self.next_report && spaced
-    }
+/// Returns the versions in force at a daemon and its children.
+fn summary(node: &Node) -> Summary {
+    let in_force = node.store.in_force();
+    let version = in_force.map_or(Version(0), |cfg| cfg.version);
+    let reason = match (&node.lag_reason, in_force) {
+        (Some(reason), _) => Some(reason.as_str()),
+        (None, None) => Some("no version is in force"),
+        (None, Some(_)) => None,
+    };
+    let member = &node.member;
+    let mut summary = node.children.summary();
+    summary.add(&DataCentreSummary::of_daemon(
+        &member.daemon,
+        (&member.data_centre, &member.region),
+        version,
+        reason,
+    ));
+    summary
 }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -30,7 +30,10 @@
     handle::{PendingRequest, Request},
     indexmap::IndexMap,
     std::{
-        sync::mpsc::{Receiver, RecvTimeoutError},
+        sync::{
+            Arc, Mutex, PoisonError,
+            mpsc::{Receiver, RecvTimeoutError},
+        },
         thread,
         time::Instant,
     },
@@ -48,6 +51,8 @@
     send: F,
     requests: Receiver<Request<S>>,
     status: watch::Sender<Status>,
+    /// Last contact with the quorum, for the handles.
+    quorum_contact: Arc<Mutex<Option<Instant>>>,
     /// Unanswered requests by number.
     pending: IndexMap<u64, PendingRequest<S>>,
     next_number: u64,
@@ -120,7 +125,12 @@
     let now = Instant::now();
     let raft = Raft::new(options.raft, me, recovered.stored, now, rand::random());
     let status = watch::Sender::new(current_status(&raft, applied, wal.bytes()));
-    let (handle, requests) = Handle::new(recovered.id, status.subscribe());
+    let quorum_contact = Arc::default();
+    let (handle, requests) = Handle::new(
+        recovered.id,
+        status.subscribe(),
+        Arc::clone(&quorum_contact),
+    );
     let replica = Replica {
         raft,
         wal,
@@ -128,6 +138,7 @@
         send,
         requests,
         status,
+        quorum_contact,
         pending: IndexMap::new(),
         next_number: 0,
         applied,
@@ -342,6 +353,10 @@
     }
 
     fn publish_status(&self) {
+        *self
+            .quorum_contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = self.raft.quorum_contact(Instant::now());
         let new = current_status(&self.raft, self.applied, self.wal.bytes());
         self.status.send_if_modified(|old| {
             if (old.role, old.term) != (new.role, new.term) {
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -7,9 +7,10 @@
     std::{
         fmt,
         sync::{
-            Arc,
+            Arc, Mutex, PoisonError,
             mpsc::{self, Receiver, Sender},
         },
+        time::Instant,
     },
     tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
 };
@@ -96,6 +97,7 @@
     id: ReplicaId,
     requests: Sender<Request<S>>,
     status: watch::Receiver<Status>,
+    quorum_contact: Arc<Mutex<Option<Instant>>>,
     memory_permits: Arc<Semaphore>,
     message_permits: Arc<Semaphore>,
 }
@@ -106,6 +108,7 @@
             id: self.id,
             requests: self.requests.clone(),
             status: self.status.clone(),
+            quorum_contact: Arc::clone(&self.quorum_contact),
             memory_permits: Arc::clone(&self.memory_permits),
             message_permits: Arc::clone(&self.message_permits),
         }
@@ -124,12 +127,14 @@
     pub(super) fn new(
         id: ReplicaId,
         status: watch::Receiver<Status>,
+        quorum_contact: Arc<Mutex<Option<Instant>>>,
     ) -> (Self, Receiver<Request<S>>) {
         let (tx, rx) = mpsc::channel();
         let handle = Self {
             id,
             requests: tx,
             status,
+            quorum_contact,
             memory_permits: Arc::new(Semaphore::new(MEMORY_UNITS)),
             message_permits: Arc::new(Semaphore::new(MAX_QUEUED_MESSAGES)),
         };
@@ -251,6 +256,15 @@
         self.status.borrow().clone()
     }
 
+    /// Returns the latest time at which this replica was in contact with the quorum of its group; see
+    /// [`crate::raft::Raft::quorum_contact`]. It stays as it is while the thread waits for the disk.
+    pub fn quorum_contact(&self) -> Option<Instant> {
+        *self
+            .quorum_contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a receiver with which status changes can be awaited.
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -109,17 +109,6 @@
     }
 }
 
-/// How versions and endpoint sets reach a daemon.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum TreeShape {
-    /// Through the relays of the region and of the data centre.
-    #[default]
-    Relayed,
-    /// Directly from the leader of the config group; for meshes of a few hundred daemons.
-    Direct,
-}
-
 /// A setting whose value is not allowed or conflicts with another setting.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InvalidSetting {
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        HumanReadable, Interface, InvalidSetting, Log, Secret, TreeShape, check_token,
-        resolve_token, validate_name,
+        HumanReadable, Interface, InvalidSetting, Log, Secret, check_token, resolve_token,
+        validate_name,
     },
     crate::{
         announce::ANNOUNCE_LEASE,
@@ -58,9 +58,6 @@
     /// Service of the backend server beside the daemon, until an announcement names it; calls that
     /// originate here carry it as the calling service.
     pub service: Option<ServiceName>,
-    /// Whether versions and endpoint sets come through relays or directly from control.
-    #[serde(default)]
-    pub tree: TreeShape,
     /// Lease of an announcement: time after which it lapses unless it is renewed.
     #[serde_as(as = "HumanReadable")]
     #[serde(default = "default_announce_lease")]
--- a/src/tree_wire.rs
+++ b/src/tree_wire.rs
@@ -1,4 +1,5 @@
-//! Transport of the distribution tree: paths, frames and the streams to children.
+//! Transport of the distribution tree: paths, frames, the streams to children and the one from the
+//! source.
 
 #[cfg(test)]
 mod tests;
@@ -6,8 +7,13 @@
 use {
     crate::{
         body::{self, Body},
+        error::Result,
         model::{DaemonName, Version},
-        relays::{AttachReply, SubscribeReply, Update},
+        peer::Client,
+        relays::{
+            ANSWER_TIMEOUT, Effect, Report, ReportReply, StreamEvent, Subscribe, SubscribeReply,
+            Update,
+        },
         wire,
     },
     bytes::Bytes,
@@ -17,16 +23,22 @@
     std::{
         net::SocketAddr,
         sync::{
-            Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinHandle,
     },
-    tokio::sync::{mpsc, oneshot},
 };
 
-/// Path of attach requests, which ask control for a parent.
+/// Path of attach requests, which ask a control replica for the version floor and the replicas.
 pub const ATTACH_PATH: &str = "/attach";
-/// Path that opens the stream of updates from a parent.
+/// Path that returns the version that the leader of the config group confirms with its quorum.
+pub const FLOOR_PATH: &str = "/floor";
+/// Path that opens the stream of updates from a source.
 pub const SUBSCRIBE_PATH: &str = "/subscribe";
 /// Path that receives the reports of children.
 pub const REPORT_PATH: &str = "/report";
@@ -39,22 +51,10 @@
 /// Path that opens the stream of shares of the capacity of grants.
 pub const SHARES_PATH: &str = "/shares";
 
-/// Maximum number of frames queued for a child; enough for a full copy with all endpoint sets.
+/// Maximum number of frames queued for a child; enough for a full copy with all records.
 const MAX_QUEUED_FRAMES: usize = 64;
-
-/// Answer of a control replica to an attach request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AttachAnswer {
-    /// Answer of the leader.
-    Reply {
-        /// The answer.
-        reply: AttachReply,
-        /// Peer addresses of the members of the config group.
-        members: Vec<SocketAddr>,
-    },
-    /// The replica is not the leader; peer address of the leader, `None` if unknown.
-    NotLeader(Option<SocketAddr>),
-}
+/// Timeout of a read from a stream; the state machine drops a source without heartbeats earlier.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// One frame of a stream to a child.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -172,3 +172,181 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Stream from the source of a process, with the task that reads it.
+#[derive(Debug)]
+struct SourceStream {
+    address: SocketAddr,
+    reader: JoinHandle<()>,
+}
+
+/// Requests of a process to its source.
+#[derive(Debug)]
+pub struct SourceStreams {
+    client: Client,
+    /// Open streams by number.
+    open: Mutex<IndexMap<u64, SourceStream>>,
+    bytes_received: AtomicU64,
+    bytes_sent: AtomicU64,
+}
+
+impl SourceStreams {
+    /// Creates the state without a stream.
+    pub fn new(client: Client) -> Arc<Self> {
+        Arc::new(Self {
+            client,
+            open: Mutex::default(),
+            bytes_received: AtomicU64::new(0),
+            bytes_sent: AtomicU64::new(0),
+        })
+    }
+
+    /// Opens a stream and passes its events to `handle` until it ends.
+    pub fn subscribe<F>(self: &Arc<Self>, address: SocketAddr, req: Subscribe, handle: F)
+    where
+        F: Fn(StreamEvent) + Send + Sync + 'static,
+    {
+        let stream = req.stream;
+        let streams = Arc::clone(self);
+        let reader = tokio::spawn(async move {
+            if let Err(e) = streams.read(address, &req, &handle).await {
+                log::debug!("{e}");
+            }
+            handle(StreamEvent::Lost { stream });
+        });
+        let opened = SourceStream { address, reader };
+        self.open().insert(stream, opened);
+    }
+
+    async fn read(
+        &self,
+        address: SocketAddr,
+        req: &Subscribe,
+        handle: &(impl Fn(StreamEvent) + Sync),
+    ) -> Result<()> {
+        let stream = req.stream;
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        let opened = self
+            .client
+            .open_stream::<_, Frame>("subscribe", address, SUBSCRIBE_PATH, req, deadline)
+            .await;
+        let mut frames = match opened {
+            Ok(frames) => frames,
+            Err(e) => {
+                let reply = None;
+                handle(StreamEvent::Subscribed { stream, reply });
+                return Err(e);
+            }
+        };
+        let mut counted = 0;
+        loop {
+            let frame = frames.receive(Instant::now() + READ_TIMEOUT).await?;
+            let received = frames.received();
+            self.bytes_received
+                .fetch_add(received - counted, Ordering::Relaxed);
+            counted = received;
+            handle(match frame {
+                Some(Frame::Reply(reply)) => StreamEvent::Subscribed {
+                    stream,
+                    reply: Some(reply),
+                },
+                Some(Frame::Update(update)) => StreamEvent::Update(*update),
+                None => StreamEvent::FramePart { stream },
+            });
+        }
+    }
+
+    /// Sends a report to the source of its stream and passes the answer to `handle`.
+    pub fn report<F>(self: &Arc<Self>, report: Report, handle: F)
+    where
+        F: FnOnce(StreamEvent) + Send + 'static,
+    {
+        let Some(address) = self.address(report.stream) else {
+            return;
+        };
+        let streams = Arc::clone(self);
+        tokio::spawn(async move {
+            let bytes = wire::encode(&report).map_or(0, |buf| buf.len() as u64);
+            streams.bytes_sent.fetch_add(bytes, Ordering::Relaxed);
+            let deadline = Instant::now() + ANSWER_TIMEOUT;
+            let client = &streams.client;
+            let sent = client.request("report", address, REPORT_PATH, &report, deadline);
+            match sent.await {
+                Ok(reply) => handle(StreamEvent::Reported {
+                    stream: report.stream,
+                    number: report.number,
+                    reply,
+                }),
+                Err(e) => log::debug!("{e}"),
+            }
+        });
+    }
+
+    /// Returns the peer address of the source of a stream; `None` if it is closed.
+    pub fn address(&self, stream: u64) -> Option<SocketAddr> {
+        self.open().get(&stream).map(|open| open.address)
+    }
+
+    /// Closes a stream and returns the peer address of its source.
+    pub fn close(&self, stream: u64) -> Option<SocketAddr> {
+        let closed = self.open().swap_remove(&stream)?;
+        closed.reader.abort();
+        Some(closed.address)
+    }
+
+    /// Closes all streams.
+    pub fn close_all(&self) {
+        for (_, closed) in self.open().drain(..) {
+            closed.reader.abort();
+        }
+    }
+
+    /// Returns the numbers of bytes received from sources and sent to them so far.
+    pub fn bytes(&self) -> (u64, u64) {
+        (
+            self.bytes_received.load(Ordering::Relaxed),
+            self.bytes_sent.load(Ordering::Relaxed),
+        )
+    }
+
+    fn open(&self) -> MutexGuard<'_, IndexMap<u64, SourceStream>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends what an effect has for a child, and closes streams to children that are dropped or refused.
+/// Returns the effect if it is not about a child.
+pub fn send_to_child(streams: &ChildStreams, effect: Effect) -> Option<Effect> {
+    match effect {
+        Effect::Answer {
+            child,
+            stream,
+            reply,
+        } => {
+            let accepted = matches!(reply, SubscribeReply::Accepted { .. });
+            streams.send(&child, stream, &Frame::Reply(reply));
+            if !accepted {
+                streams.close(&child, stream);
+            }
+        }
+        Effect::Update { child, update } => {
+            let stream = update.stream;
+            streams.send(&child, stream, &Frame::Update(Box::new(update)));
+        }
+        Effect::DropChildren(children) => {
+            for (child, stream) in children {
+                streams.close(&child, stream);
+            }
+        }
+        other => return Some(other),
+    }
+    None
+}
+
+/// Returns the answer to a report among the effects of the report.
+pub fn report_reply(effects: &[Effect]) -> Option<ReportReply> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::AnswerReport(reply) => Some(*reply),
+        _ => None,
+    })
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -117,3 +117,38 @@
     }
     Ok(())
 }
+
+/// Serializes byte strings as one block instead of a sequence of numbers.
+pub(crate) mod byte_string {
+    use {
+        bytes::Bytes,
+        serde::{Deserializer, Serializer, de},
+        std::fmt,
+    };
+
+    pub(crate) fn serialize<S: Serializer>(bytes: &Bytes, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(bytes)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
+        struct Visitor;
+
+        impl de::Visitor<'_> for Visitor {
+            type Value = Bytes;
+
+            fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str("a byte string")
+            }
+
+            fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Bytes, E> {
+                Ok(Bytes::copy_from_slice(v))
+            }
+
+            fn visit_byte_buf<E: de::Error>(self, v: Vec<u8>) -> Result<Bytes, E> {
+                Ok(Bytes::from(v))
+            }
+        }
+
+        from.deserialize_byte_buf(Visitor)
+    }
+}
