Deny a call only by a version that is confirmed to be the newest

Cause: a daemon whose stream is late, or that has no source for a while, cannot know whether a newer version allows a call, and denied it by its own. docs/incidents/2026-12-04-config-after-ack.md has the trace; versions were 1.2 to 3.5 s late on intact streams behind uploads, so a timeout of the stream does not help.

It denies a call only if that is at most a second ago. Otherwise it asks at once, and refuses as not run (503) if the version is not confirmed within 0.4 s.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -122,7 +122,7 @@
         let token = cfg.token().to_owned();
         let shared = Shared::new(cfg, advertised)?;
         let tree = Tree::new(Arc::clone(&shared));
-        let callers = serve_callers(&shared, listeners.callers);
+        let callers = serve_callers(&shared, &tree, listeners.callers);
         let local = serve_local(&shared, listeners.local);
         let peer = serve_peers(&shared, &tree, listeners.peer, &token)?;
         let ready = listeners.ready.map(|port| serve_local(&shared, port));
@@ -250,10 +250,10 @@
     }
 }
 
-fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Server {
-    let shared = Arc::clone(shared);
+fn serve_callers(shared: &Arc<Shared>, tree: &Arc<Tree>, listener: TcpListener) -> Server {
+    let (shared, tree) = (Arc::clone(shared), Arc::clone(tree));
     serve::serve(listener, move |req, _| {
-        entry::handle_request(Arc::clone(&shared), req)
+        entry::handle_request(Arc::clone(&shared), Arc::clone(&tree), req)
     })
 }
 
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -7,6 +7,7 @@
         intake, order,
         pending::PendingAttempt,
         shared::Shared,
+        tree::Tree,
     },
     crate::{
         balance::Choice,
@@ -35,6 +36,16 @@
 /// Longest time for which a body of unknown size is buffered before it is streamed.
 const MAX_BUFFER_TIME: Duration = Duration::from_millis(500);
 
+/// Longest time for which a call that no version in force allows waits for the confirmation that no
+/// newer version does.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Part of the remaining time that such a call may wait.
+const CONFIRM_DIVISOR: u32 = 4;
+
+/// Time for which a daemon may lack a newer version and still refuse a call as not allowed.
+const MAX_VERSION_AGE: Duration = Duration::from_secs(1);
+
 /// Body of a request: buffered for retries, or streamed once.
 pub(super) enum RequestBody {
     Buffered(Bytes),
@@ -118,10 +129,14 @@
 }
 
 /// Handles one request on the caller port.
-pub async fn handle_request(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle_request(
+    shared: Arc<Shared>,
+    tree: Arc<Tree>,
+    req: Request<Incoming>,
+) -> Response<Body> {
     let now = Instant::now();
     let (parts, incoming) = req.into_parts();
-    let response = forward_request(&shared, &parts, incoming).await;
+    let response = forward_request(&shared, &tree, &parts, incoming).await;
     if shared.dialect.requires_signature() {
         let deadline = call::deadline_of(&shared.dialect, &parts.headers, now, MAX_TIMEOUT);
         return shared
@@ -189,12 +204,20 @@
 
 async fn forward_request(
     shared: &Arc<Shared>,
+    tree: &Arc<Tree>,
     parts: &Parts,
     incoming: Incoming,
 ) -> Response<Body> {
     let now = Instant::now();
     let id = shared.next_call_id();
-    let (call, choice) = match route_request(shared, id, parts, &incoming, now) {
+    let mut routed = route_request(shared, id, parts, &incoming, now);
+    if routed.as_ref().is_err_and(denies) {
+        routed = match confirm_version(shared, tree, parts, now).await {
+            Ok(()) => route_request(shared, id, parts, &incoming, now),
+            Err(refusal) => Err(refusal),
+        };
+    }
+    let (call, choice) = match routed {
         Ok(routed) => routed,
         Err(refusal) => {
             body::discard(body::boxed(incoming), now + DISCARD_TIME).await;
@@ -230,6 +253,30 @@
     }
 }
 
+/// Returns whether the refusal says that the lists don't allow the call.
+fn denies(refusal: &Refusal) -> bool {
+    matches!(refusal.reason, Reason::NoGrant | Reason::UnknownKey)
+}
+
+/// Waits until it is known that the version in force is recent enough to deny a call by it.
+async fn confirm_version(
+    shared: &Shared,
+    tree: &Arc<Tree>,
+    parts: &Parts,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let default_timeout = shared.cfg.default_timeout;
+    let deadline = call::deadline_of(&shared.dialect, &parts.headers, now, default_timeout)?;
+    let time_left = deadline.saturating_duration_since(now);
+    let until = now + CONFIRM_TIMEOUT.min(time_left / CONFIRM_DIVISOR);
+    let since = now.checked_sub(MAX_VERSION_AGE).unwrap_or(now);
+    if tree.confirm_current(since, until).await {
+        return Ok(());
+    }
+    let detail = "the configuration may be out of date: no source has confirmed it in time";
+    Err(Refusal::not_run(Reason::NotReady, detail))
+}
+
 fn route_request(
     shared: &Shared,
     id: CallId,
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -174,7 +174,10 @@
     /// Done under the lock, so that routes are replaced in the order of their versions, and frames of
     /// concurrent events don't overtake each other.
     fn step(self: &Arc<Self>, event: Event) {
-        let confirms = matches!(event, Event::Stream(StreamEvent::Reported { .. }));
+        let confirms = matches!(
+            event,
+            Event::Stream(StreamEvent::Reported { .. } | StreamEvent::ReportFailed { .. })
+        );
         let mut uplink = self.uplink();
         let effects = uplink.step(Instant::now(), rand::random(), event);
         self.execute_all(&uplink, effects);
--- a/src/relays/node.rs
+++ b/src/relays/node.rs
@@ -23,6 +23,9 @@
     },
 };
 
+/// Delay before a report is sent again after one that failed.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// Heartbeats with another digest of the records than the own one, after which the two processes
 /// compare their records.
 const MAX_DIFFERING_HEARTBEATS: u32 = 20;
@@ -58,6 +61,13 @@
         /// The answer.
         reply: ReportReply,
     },
+    /// A report got no answer from the source.
+    ReportFailed {
+        /// Stream number.
+        stream: u64,
+        /// Number of the report.
+        number: u64,
+    },
     /// Subscription of a child.
     Subscribe(Subscribe),
     /// Report of a child.
@@ -275,6 +285,9 @@
                 number,
                 reply,
             } => self.on_report_reply(now, stream, number, reply, out),
+            StreamEvent::ReportFailed { stream, number } => {
+                self.on_report_failed(now, stream, number);
+            }
             StreamEvent::Subscribe(req) => self.on_subscribe(now, req, out),
             StreamEvent::Report(report) => self.on_report(now, report, out),
             StreamEvent::ChildLost { child, stream } => {
@@ -708,6 +721,14 @@
         }
     }
 
+    fn on_report_failed(&mut self, now: Instant, stream: u64, number: u64) {
+        let link = self.link.as_mut().filter(|link| link.stream == stream);
+        let failed = link.and_then(|link| link.unanswered.take_if(|sent| sent.number == number));
+        if failed.is_some() {
+            self.next_report = now + REPORT_RETRY_DELAY;
+        }
+    }
+
     fn age_ms(&self, now: Instant) -> Option<u32> {
         let age = now.saturating_duration_since(self.current_at?);
         Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
--- a/src/tree_wire.rs
+++ b/src/tree_wire.rs
@@ -256,7 +256,7 @@
         }
     }
 
-    /// Sends a report to the source of its stream and passes the answer to `handle`.
+    /// Sends a report to the source of its stream and passes the answer, or the failure, to `handle`.
     pub fn report<F>(self: &Arc<Self>, report: Report, handle: F)
     where
         F: FnOnce(StreamEvent) + Send + 'static,
@@ -271,14 +271,18 @@
             let deadline = Instant::now() + ANSWER_TIMEOUT;
             let client = &streams.client;
             let sent = client.request("report", address, REPORT_PATH, &report, deadline);
-            match sent.await {
-                Ok(reply) => handle(StreamEvent::Reported {
-                    stream: report.stream,
-                    number: report.number,
+            let (stream, number) = (report.stream, report.number);
+            handle(match sent.await {
+                Ok(reply) => StreamEvent::Reported {
+                    stream,
+                    number,
                     reply,
-                }),
-                Err(e) => log::debug!("{e}"),
-            }
+                },
+                Err(e) => {
+                    log::debug!("{e}");
+                    StreamEvent::ReportFailed { stream, number }
+                }
+            });
         });
     }
 
