Wait for the daemons before an edit is acknowledged on the platform

It now waits until all daemons that report route by it, for 0.4 s at most: operators give up after a second, and a frozen daemon must not hold them up.

Test: control::tests::in_force. It uses the new wait, so it was not run on the code before.

--- a/src/control/replace.rs
+++ b/src/control/replace.rs
@@ -7,7 +7,7 @@
         events::Event,
         lists::Lists,
         log_event,
-        model::Config,
+        model::{Config, Version},
         raft::MemberRole,
         replica::RequestError,
         wire,
@@ -23,6 +23,9 @@
 /// Time after which an operation without a decision is answered as unavailable. It is shorter
 /// than a second, after which operators ask another replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time that an accepted edit waits until all daemons that report route by it. A daemon that is
+/// frozen or cut off delays the answer until its lease ends; the operator must not wait that long.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after the start for which the first edit is refused while the group has fewer voters than
 /// the settings require. After it, a smaller group accepts edits rather than stay read-only.
 const GROWTH_TIMEOUT: Duration = Duration::from_secs(10);
@@ -44,7 +47,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplaceOutcome {
     /// The lists are accepted, now or by an earlier send of the same edit.
-    Accepted,
+    Accepted {
+        /// Version of the lists.
+        version: Version,
+    },
     /// The base is not the current version.
     Conflict {
         /// Version number of the current document.
@@ -72,8 +78,8 @@
     cfg: Arc<Config>,
     /// `None` before the first replacement.
     interface_data: Option<InterfaceData>,
-    /// Whether the same edit was accepted before.
-    accepted: bool,
+    /// Version of the same edit if it was accepted before.
+    accepted: Option<Version>,
 }
 
 impl ConfigReplica {
@@ -96,7 +102,14 @@
     /// [`ReplaceError`]: another replica leads, or none does. The replacement may still have been
     /// accepted.
     pub async fn replace(&self, replacement: Replacement) -> Result<ReplaceOutcome, ReplaceError> {
-        self.with_timeout(self.apply_replacement(replacement)).await
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        let outcome = self
+            .with_timeout(self.apply_replacement(replacement))
+            .await?;
+        if let ReplaceOutcome::Accepted { version } = outcome {
+            self.await_in_force(version, deadline).await;
+        }
+        Ok(outcome)
     }
 
     async fn with_timeout<T>(
@@ -116,7 +129,7 @@
         let read = self.handle.read(move |state| CurrentState {
             cfg: Arc::clone(state.store().config()),
             interface_data: state.interface_data().cloned(),
-            accepted: edit.is_some_and(|edit| state.accepted_edit(edit).is_some()),
+            accepted: edit.and_then(|edit| state.accepted_edit(edit).map(|edit| edit.version)),
         });
         match read.await {
             Ok(current) => Ok(current),
@@ -145,9 +158,9 @@
     ) -> Result<ReplaceOutcome, ReplaceError> {
         let current = self.read_state(Some(replacement.edit_id)).await?;
         let number = replacement.interface_data.number;
-        if current.accepted {
+        if let Some(version) = current.accepted {
             log_event!(Event::EditRepeated, version = number);
-            return Ok(ReplaceOutcome::Accepted);
+            return Ok(ReplaceOutcome::Accepted { version });
         }
         let current_number = current
             .interface_data
@@ -201,9 +214,9 @@
         Ok(match reply {
             EditReply::Accepted { version } => {
                 log_event!(Event::VersionAccepted, version = version, number = number);
-                ReplaceOutcome::Accepted
+                ReplaceOutcome::Accepted { version }
             }
-            EditReply::Repeated { .. } => ReplaceOutcome::Accepted,
+            EditReply::Repeated { version } => ReplaceOutcome::Accepted { version },
             EditReply::Conflict { .. } => {
                 log_event!(Event::EditConflict, number = number);
                 ReplaceOutcome::Conflict {
@@ -214,6 +227,15 @@
         })
     }
 
+    /// Waits until the daemons route by a version, so that calls that come after the acknowledgement
+    /// are not routed by an older one.
+    async fn await_in_force(&self, version: Version, deadline: Instant) {
+        let deadline = deadline.min(Instant::now() + IN_FORCE_TIMEOUT);
+        if !self.tree.await_in_force(version, deadline).await {
+            log::info!("version {version} acknowledged before all daemons have reported it");
+        }
+    }
+
     /// Refuses the first edit until the group has enough voters to keep it after the loss of as
     /// many disks as the settings tolerate, or until [`GROWTH_TIMEOUT`] has passed.
     fn check_voters(&self) -> Result<(), ReplaceError> {
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,4 +1,5 @@
 mod ended;
+mod in_force;
 
 use {super::*, std::path::Path};
 
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -13,7 +13,7 @@
         raft::Role,
         relays::{
             ADMITTED_PER_SECOND, Admission, Attach, AttachReply, Effect, Hub, Leadership, Member,
-            StreamEvent, Subscribe,
+            ReportReply, StreamEvent, Subscribe,
         },
         replica::{Handle, RequestError},
         tree_wire::{
@@ -185,7 +185,7 @@
                     log_event!(Event::ParentChosen, address = address, stream = req.stream);
                     let tree = Arc::clone(self);
                     self.source
-                        .subscribe(address, *req, move |event| tree.handle(event));
+                        .subscribe(address, *req, move |event| tree.pass(event));
                 }
                 Effect::Unsubscribe { stream, reason } => {
                     if let Some(address) = self.source.close(stream) {
@@ -199,17 +199,29 @@
                 }
                 Effect::Report(report) => {
                     let tree = Arc::clone(self);
-                    self.source.report(*report, move |event| tree.handle(event));
+                    self.source.report(*report, move |event| tree.pass(event));
                 }
                 _ => {}
             }
         }
     }
 
-    fn handle(self: &Arc<Self>, event: StreamEvent) {
+    /// Processes an event of a stream that needs no answer.
+    fn pass(self: &Arc<Self>, event: StreamEvent) {
+        let _no_report = self.handle(event);
+    }
+
+    /// Processes an event of a stream; returns the answer if it is a report.
+    pub(super) fn handle(self: &Arc<Self>, event: StreamEvent) -> Option<ReportReply> {
         let mut hub = self.hub();
         let effects = hub.handle(Instant::now(), rand::random(), event);
+        let reply = report_reply(&effects);
         self.execute(effects);
+        drop(hub);
+        if reply.is_some() {
+            self.reported.notify_waiters();
+        }
+        reply
     }
 
     /// Answers a request of a daemon or of another replica on the peer port.
@@ -222,13 +234,7 @@
             FLOOR_PATH => Ok(peer::message_response(&self.read_version().await)),
             SUBSCRIBE_PATH => peer::read_message(req).await.map(|req| self.open(req)),
             REPORT_PATH => peer::read_message(req).await.map(|report| {
-                let mut hub = self.hub();
-                let event = StreamEvent::Report(report);
-                let effects = hub.handle(Instant::now(), rand::random(), event);
-                let reply = report_reply(&effects);
-                self.execute(effects);
-                drop(hub);
-                self.reported.notify_waiters();
+                let reply = self.handle(StreamEvent::Report(report));
                 reply.map_or_else(
                     || peer::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
                     |reply| peer::message_response(&reply),
@@ -333,7 +339,7 @@
         tokio::spawn(async move {
             stream_end.wait().await;
             tree.children.close(&child, stream);
-            tree.handle(StreamEvent::ChildLost { child, stream });
+            tree.pass(StreamEvent::ChildLost { child, stream });
         });
         response
     }
--- a/src/platform/operators.rs
+++ b/src/platform/operators.rs
@@ -73,7 +73,7 @@
             base: decoded.base,
         };
         match replica.replace(replacement).await {
-            Ok(ReplaceOutcome::Accepted) => {
+            Ok(ReplaceOutcome::Accepted { .. }) => {
                 api::json_response(StatusCode::OK, &serde_json::json!({}))
             }
             Ok(ReplaceOutcome::Conflict { current }) => {
