Keep idle connections of callers open for longer than a head may take

What callers saw: a connection that was idle for 10 s was closed, also where the platform's limit for idle connections is 15 s; a request that was sent at that moment was lost.

Cause: hyper's timeout for the head of a request counts from the end of the request before, so it was the limit for idle connections as well.

Change: an idle connection is closed after 75 s; the head of a request has 10 s from its first byte (link::HeadTimeout). A call counts as in flight on its connection until its answer has been sent.

Tests: tests/idle_callers.rs, failed on the code before ("the connection was closed"); link::tests.

--- a/src/body.rs
+++ b/src/body.rs
@@ -68,6 +68,37 @@
     StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
 }
 
+/// Returns a body that owns `held` until it has been read or dropped.
+pub fn kept<G: Send + Unpin + 'static>(inner: Body, held: G) -> Body {
+    Kept { inner, _held: held }.boxed_unsync()
+}
+
+/// A body with a value that is dropped with it.
+struct Kept<G> {
+    inner: Body,
+    _held: G,
+}
+
+impl<G: Unpin> HttpBody for Kept<G> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// How a [`MonitoredBody`] ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,9 +1,12 @@
 //! What passes over one connection: bytes in both directions, the time of the last byte received
 //! and the calls in flight.
 
+mod head_timeout;
 #[cfg(test)]
 mod tests;
 
+pub use self::head_timeout::HeadTimeout;
+
 use {
     std::{
         fmt,
@@ -28,6 +31,8 @@
     received: AtomicU64,
     sent: AtomicU64,
     calls: AtomicU32,
+    /// Number of calls so far.
+    begun: AtomicU64,
 }
 
 impl Activity {
@@ -48,6 +53,7 @@
             received: AtomicU64::new(0),
             sent: AtomicU64::new(0),
             calls: AtomicU32::new(0),
+            begun: AtomicU64::new(0),
         })
     }
 
@@ -62,9 +68,15 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of calls so far.
+    pub fn begun(&self) -> u64 {
+        self.begun.load(Ordering::Relaxed)
+    }
+
     /// Counts a call as in flight until the returned guard is dropped.
     pub fn begin_call(this: &Arc<Self>) -> CallInFlight {
         this.calls.fetch_add(1, Ordering::Relaxed);
+        this.begun.fetch_add(1, Ordering::Relaxed);
         CallInFlight(Arc::clone(this))
     }
 
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,9 +1,9 @@
 use {
-    super::{Activity, Metered},
+    super::{Activity, HeadTimeout, Metered},
     std::{sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, duplex},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -23,3 +23,45 @@
     let text = activity.to_string();
     assert!(text.contains("sent 3 B, received 5 B"), "{text}");
 }
+
+/// Timeout of heads in these tests.
+const HEAD_LIMIT: Duration = Duration::from_millis(30);
+/// Time in which a head that is late is noticed, also on a busy machine.
+const LONG: Duration = Duration::from_secs(30);
+
+/// Guards against a connection that an idle client keeps open, as HTTP/1 allows, and that is closed
+/// like one whose client sends a request byte by byte.
+#[tokio::test]
+async fn only_a_head_that_has_begun_has_to_be_complete_in_time() {
+    let (near, mut far) = duplex(64);
+    let activity = Activity::new();
+    let mut timed = HeadTimeout::new(near, Arc::clone(&activity), HEAD_LIMIT);
+    let mut buf = [0; 16];
+    let idle = timeout(HEAD_LIMIT * 4, timed.read(&mut buf)).await;
+    assert!(idle.is_err(), "an idle connection stays open");
+    far.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
+    timed.read_exact(&mut buf).await.unwrap();
+    let call = Activity::begin_call(&activity);
+    drop(call);
+    let idle = timeout(HEAD_LIMIT * 4, timed.read(&mut buf)).await;
+    assert!(idle.is_err(), "the head was complete");
+    far.write_all(b"GET / HT").await.unwrap();
+    timed.read_exact(&mut buf[..8]).await.unwrap();
+    let late = timeout(LONG, timed.read(&mut buf)).await.unwrap();
+    assert!(late.is_err(), "the second head never ends");
+}
+
+/// Guards against an HTTP/2 connection that is closed because a ping arrives while no call is in
+/// flight.
+#[tokio::test]
+async fn an_http2_connection_has_no_heads() {
+    let (near, mut far) = duplex(64);
+    let mut timed = HeadTimeout::new(near, Activity::new(), HEAD_LIMIT);
+    let mut buf = [0; 16];
+    for bytes in [b"PRI * HTTP/2.0\r\n", b"0123456789abcdef"] {
+        far.write_all(bytes).await.unwrap();
+        timed.read_exact(&mut buf).await.unwrap();
+        let idle = timeout(HEAD_LIMIT * 4, timed.read(&mut buf)).await;
+        assert!(idle.is_err(), "the connection stays open");
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,7 +5,7 @@
         body::{self, Body, PROGRESS_TIMEOUT},
         error::{Error, Result, error_chain},
         events::Event,
-        link::{Activity, Metered},
+        link::{Activity, HeadTimeout, Metered},
         log_event,
     },
     gotham::{handler::NewHandler, service::call_handler, state::State},
@@ -28,8 +28,10 @@
     },
 };
 
-/// Timeout for receiving the headers of an HTTP/1 request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for receiving the head of an HTTP/1 request, from its first byte.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an HTTP/1 connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Time without a frame from the server after which an HTTP/2 client pings it.
 pub const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a frame from the client after which the server pings it. It exceeds
@@ -173,18 +175,19 @@
     set_socket_options(&stream);
     let activity = Activity::new();
     let metered = Metered::new(stream, Arc::clone(&activity));
+    let timed = HeadTimeout::new(metered, Arc::clone(&activity), HEAD_TIMEOUT);
     let traffic = Arc::clone(&activity);
     let service = service_fn(move |req| {
         let answer = handler(req, peer);
         let in_flight = Activity::begin_call(&activity);
         async move {
+            // The call is in flight until its answer has been sent.
             let response = answer.await;
-            drop(in_flight);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|sent| body::kept(sent, in_flight)))
         }
     });
     let connection = builder
-        .serve_connection(TokioIo::new(metered), service)
+        .serve_connection(TokioIo::new(timed), service)
         .into_owned();
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
@@ -224,7 +227,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        // Counts from the end of the previous request; the head has a timeout of its own.
+        .header_read_timeout(IDLE_TIMEOUT)
         .max_buf_size(SEND_BUFFER)
         .half_close(false);
     builder
