Append a replacement only after the state that it was checked against

The version in force afterwards was often the lower one, so an acknowledged change was gone.

Cause: a replacement is checked against a confirmed read and proposed after it. The log entry carries the version of the lists, which the state machine compares, but a replacement that leaves the lists as they are does not make a new one. Any number of such entries of one base passed. Change: the proposal names the log index of that read and is appended only if no entry follows it; otherwise the replacement is checked again. Why it works: between the read and the proposal no other entry can come, whatever it changes, and an entry that is not applied yet also counts. Log entries and the state machine stay as they are.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -87,7 +87,9 @@
         Err(RequestError::NotLeader(leader)) => {
             ClaimAnswer::NotLeader(leader.map(|leader| leader.address))
         }
-        Err(RequestError::Stopped | RequestError::Refused(_)) => ClaimAnswer::NotLeader(None),
+        Err(RequestError::Stopped | RequestError::Refused(_) | RequestError::Superseded) => {
+            ClaimAnswer::NotLeader(None)
+        }
         Err(RequestError::Lost) => ClaimAnswer::Lost,
     }
 }
--- a/src/control/replace.rs
+++ b/src/control/replace.rs
@@ -75,6 +75,8 @@
 
 /// Replicated state that a replacement is checked against.
 struct CurrentState {
+    /// Index of the last log entry that the state includes.
+    index: u64,
     cfg: Arc<Config>,
     /// `None` before the first replacement.
     interface_data: Option<InterfaceData>,
@@ -82,6 +84,20 @@
     accepted: Option<Version>,
 }
 
+/// What a replacement leads to in the state that it was checked against.
+enum Checked {
+    Decided(ReplaceOutcome),
+    Propose(EditCommand),
+}
+
+impl CurrentState {
+    /// Returns the version number of the current document; 0 before the first.
+    fn number(&self) -> u64 {
+        let data = self.interface_data.as_ref();
+        data.map_or(0, |data| data.number)
+    }
+}
+
 impl ConfigReplica {
     /// Returns the current lists and the data that the interface stored with them, confirmed by a
     /// majority. The second part is `None` before the first replacement.
@@ -126,11 +142,14 @@
     }
 
     async fn read_state(&self, edit: Option<EditId>) -> Result<CurrentState, ReplaceError> {
-        let read = self.handle.read(move |state| CurrentState {
-            cfg: Arc::clone(state.store().config()),
-            interface_data: state.interface_data().cloned(),
-            accepted: edit.and_then(|edit| state.accepted_edit(edit).map(|edit| edit.version)),
-        });
+        let read = self
+            .handle
+            .read_with_index(move |state, index| CurrentState {
+                index,
+                cfg: Arc::clone(state.store().config()),
+                interface_data: state.interface_data().cloned(),
+                accepted: edit.and_then(|edit| state.accepted_edit(edit).map(|edit| edit.version)),
+            });
         match read.await {
             Ok(current) => Ok(current),
             Err(e) => Err(self.replace_error(e).await),
@@ -152,66 +171,84 @@
         }
     }
 
+    /// Checks a replacement against the current state and proposes it after that state. If another
+    /// command comes in between, the replacement is checked again: the version of the lists alone does
+    /// not tell, since a replacement may change nothing but the data of the interface.
     async fn apply_replacement(
         &self,
         replacement: Replacement,
     ) -> Result<ReplaceOutcome, ReplaceError> {
-        let current = self.read_state(Some(replacement.edit_id)).await?;
+        loop {
+            let current = self.read_state(Some(replacement.edit_id)).await?;
+            let command = match self.check_replacement(&replacement, &current)? {
+                Checked::Decided(outcome) => return Ok(outcome),
+                Checked::Propose(command) => command,
+            };
+            if let Some(outcome) = self.propose_replacement(&command, &current).await? {
+                return Ok(outcome);
+            }
+        }
+    }
+
+    fn check_replacement(
+        &self,
+        replacement: &Replacement,
+        current: &CurrentState,
+    ) -> Result<Checked, ReplaceError> {
         let number = replacement.interface_data.number;
         if let Some(version) = current.accepted {
             log_event!(Event::EditRepeated, version = number);
-            return Ok(ReplaceOutcome::Accepted { version });
+            return Ok(Checked::Decided(ReplaceOutcome::Accepted { version }));
         }
-        let current_number = current
-            .interface_data
-            .as_ref()
-            .map_or(0, |interface_data| interface_data.number);
+        let current_number = current.number();
         if replacement.base != current_number {
             log_event!(
                 Event::EditConflict,
                 base = replacement.base,
                 current = current_number
             );
-            return Ok(ReplaceOutcome::Conflict {
+            return Ok(Checked::Decided(ReplaceOutcome::Conflict {
                 current: current_number,
-            });
+            }));
         }
         if number <= current_number {
             let reason =
                 format!("version {number} is not higher than the current version {current_number}");
-            return Ok(invalid(number, reason));
+            return Ok(Checked::Decided(invalid(number, reason)));
         }
         if current_number == 0 {
             self.check_voters()?;
         }
-        let command = EditCommand {
+        Ok(Checked::Propose(EditCommand {
             edit_id: replacement.edit_id,
             base: current.cfg.version,
             change: change_between(&current.cfg, &replacement.lists),
             time: unix_time_ms(),
-            interface_data: Some(replacement.interface_data),
-        };
-        self.propose_replacement(&command, number, current_number)
-            .await
+            interface_data: Some(replacement.interface_data.clone()),
+        }))
     }
 
+    /// Proposes a replacement that was checked against `current`; `None` if another command came in
+    /// between.
     async fn propose_replacement(
         &self,
         command: &EditCommand,
-        number: u64,
-        current_number: u64,
-    ) -> Result<ReplaceOutcome, ReplaceError> {
+        current: &CurrentState,
+    ) -> Result<Option<ReplaceOutcome>, ReplaceError> {
+        let data = command.interface_data.as_ref();
+        let number = data.map_or(0, |data| data.number);
         let buf = match wire::encode(command) {
             Ok(buf) => buf,
-            Err(e) => return Ok(invalid(number, e.to_string())),
+            Err(e) => return Ok(Some(invalid(number, e.to_string()))),
         };
-        let reply = match self.handle.propose(buf).await {
+        let reply = match self.handle.propose_after(current.index, buf).await {
             Ok(reply) => reply,
-            Err(RequestError::Refused(reason)) => return Ok(invalid(number, reason)),
+            Err(RequestError::Superseded) => return Ok(None),
+            Err(RequestError::Refused(reason)) => return Ok(Some(invalid(number, reason))),
             Err(e) => return Err(self.replace_error(e).await),
         };
         let reply = wire::decode(&reply).map_err(|e| ReplaceError::Unavailable(e.to_string()))?;
-        Ok(match reply {
+        Ok(Some(match reply {
             EditReply::Accepted { version } => {
                 log_event!(Event::VersionAccepted, version = version, number = number);
                 ReplaceOutcome::Accepted { version }
@@ -220,11 +257,11 @@
             EditReply::Conflict { .. } => {
                 log_event!(Event::EditConflict, number = number);
                 ReplaceOutcome::Conflict {
-                    current: current_number,
+                    current: current.number(),
                 }
             }
             EditReply::Invalid { reason } => invalid(number, reason),
-        })
+        }))
     }
 
     /// Waits until the daemons route by a version, so that calls that come after the acknowledgement
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -190,6 +190,7 @@
             Event::Tick => self.tick(now, random),
             Event::Message(message) => self.receive(message, now, random),
             Event::Propose(id, command) => self.propose(id, command),
+            Event::ProposeAfter(id, command, index) => self.propose_after(id, command, index),
             Event::Read(id) => self.read(id),
             Event::Change(id, change) => self.change(id, change, now),
             Event::Transfer(id, to) => self.transfer(id, to),
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -60,6 +60,9 @@
     Message(Message),
     /// Appends a command.
     Propose(u64, Bytes),
+    /// Appends a command if the last entry of the log has the given index, so that no other command
+    /// can come between a read of the state at that index and this one.
+    ProposeAfter(u64, Bytes, u64),
     /// Requests a linearizable read: the answer confirms that this replica leads and has applied
     /// all commands that were committed before.
     Read(u64),
@@ -100,6 +103,8 @@
     Lost,
     /// Not done, for this reason.
     Refused(String),
+    /// Not done: the log has other entries than the request expects.
+    Superseded,
     /// The request was executed; for a read, the state may be read now.
     Done,
 }
--- a/src/raft/replicate.rs
+++ b/src/raft/replicate.rs
@@ -27,6 +27,15 @@
         self.proposals.insert(index, id);
     }
 
+    pub(super) fn propose_after(&mut self, id: u64, command: Bytes, index: u64) {
+        let is_leader = matches!(self.state, State::Leader(_));
+        if is_leader && self.log.last().index != index {
+            self.effects.answers.push((id, Answer::Superseded));
+            return;
+        }
+        self.propose(id, command);
+    }
+
     pub(super) fn read(&mut self, id: u64) {
         match &mut self.state {
             State::Leader(leader) => leader.pending_reads.push(id),
--- a/src/raft/tests/rules.rs
+++ b/src/raft/tests/rules.rs
@@ -6,6 +6,7 @@
         Answer, Body, Entry, Event, HardState, Member, MemberChange, MemberRole, Message, Payload,
         Position, Raft, ReplicaId, Role, Snapshot, Stored,
     },
+    bytes::Bytes,
     std::time::{Duration, Instant},
 };
 
@@ -112,6 +113,27 @@
     assert!(sim.answers.contains(&(second, Answer::Refused(refused))));
 }
 
+/// Guards against a command that was checked against a state and is appended after a command that this
+/// state lacks.
+#[test]
+fn a_command_after_an_index_is_appended_only_there() {
+    let (mut sim, leader) = elected_group(3);
+    sim.accepted.clear();
+    let last = sim.raft(leader).unwrap().last().index;
+    let after = |index| move |number| Event::ProposeAfter(number, Bytes::new(), index);
+    let first = sim.request(leader, after(last));
+    let second = sim.request(leader, after(last));
+    let follower = sim.request((leader + 1) % 3, after(last));
+    sim.run(SECOND, NO_FAULTS);
+    assert_eq!(sim.accepted, [first]);
+    assert!(sim.answers.contains(&(second, Answer::Superseded)));
+    let refused = sim.answers.iter().find(|(number, _)| *number == follower);
+    assert!(matches!(refused, Some((_, Answer::NotLeader(Some(_))))));
+    let third = sim.request(leader, after(last + 1));
+    sim.run(SECOND, NO_FAULTS);
+    assert_eq!(sim.accepted, [first, third]);
+}
+
 /// Guards against a transfer that waits for the election timeout or is refused by the voters.
 #[test]
 fn leadership_moves_on_request() {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -243,6 +243,11 @@
                 self.pending.insert(number, pending);
                 Event::Propose(number, command)
             }
+            Request::ProposeAfter(command, index, answer, permit) => {
+                let pending = PendingRequest::Answer(answer, Some(permit));
+                self.pending.insert(number, pending);
+                Event::ProposeAfter(number, command, index)
+            }
             Request::Read(run, permit) => {
                 self.pending
                     .insert(number, PendingRequest::Read(run, permit));
@@ -297,7 +302,7 @@
         }
         for (number, answer) in effects.answers {
             if let Some(pending) = self.pending.swap_remove(&number) {
-                pending.answer(answer, &self.state_machine.state);
+                pending.answer(answer, &self.state_machine.state, self.applied);
             }
         }
         Ok(())
@@ -370,11 +375,11 @@
 }
 
 impl<S> PendingRequest<S> {
-    fn answer(self, answer: Answer, state: &S) {
+    fn answer(self, answer: Answer, state: &S, applied: u64) {
         match self {
             Self::Read(run, permit) => {
                 drop(permit);
-                run(RequestError::from_answer(answer).map(|()| state));
+                run(RequestError::from_answer(answer).map(|()| (state, applied)));
             }
             Self::Answer(to, permit) => {
                 drop(permit);
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -33,6 +33,8 @@
     Lost,
     /// Not done, for this reason.
     Refused(String),
+    /// Not done: entries were appended to the log after the state was read.
+    Superseded,
     /// Not done: the replica has stopped.
     Stopped,
 }
@@ -44,6 +46,7 @@
             Answer::NotLeader(leader) => Err(Self::NotLeader(leader)),
             Answer::Lost => Err(Self::Lost),
             Answer::Refused(reason) => Err(Self::Refused(reason)),
+            Answer::Superseded => Err(Self::Superseded),
         }
     }
 }
@@ -61,6 +64,7 @@
             }
             Self::Lost => f.write_str("the outcome is unknown"),
             Self::Refused(reason) => write!(f, "refused: {reason}"),
+            Self::Superseded => f.write_str("other entries were appended after the state was read"),
             Self::Stopped => f.write_str("the replica has stopped"),
         }
     }
@@ -69,13 +73,15 @@
 impl std::error::Error for RequestError {}
 
 type AnswerSender = oneshot::Sender<Result<Vec<u8>, RequestError>>;
-/// Callback of a read; receives the state, or the reason why it must not be read.
-type ReadCallback<S> = Box<dyn FnOnce(Result<&S, RequestError>) + Send>;
+/// Callback of a read; receives the state with the index of the last applied entry, or the reason why
+/// it must not be read.
+type ReadCallback<S> = Box<dyn FnOnce(Result<(&S, u64), RequestError>) + Send>;
 
 /// Request to the thread. The permits bound the number and the memory of queued requests.
 pub(super) enum Request<S> {
     Message(Message, OwnedSemaphorePermit),
     Propose(Bytes, AnswerSender, OwnedSemaphorePermit),
+    ProposeAfter(Bytes, u64, AnswerSender, OwnedSemaphorePermit),
     Read(ReadCallback<S>, OwnedSemaphorePermit),
     Local(Box<dyn FnOnce(&S) + Send>, OwnedSemaphorePermit),
     Change(MemberChange, AnswerSender),
@@ -153,19 +159,28 @@
     /// [`RequestError`]. The command may have been applied, or may be applied later, only after
     /// [`RequestError::Lost`].
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, RequestError> {
-        if command.len() > MAX_COMMAND {
-            let reason = format!(
-                "command of {} bytes exceeds the maximum of {MAX_COMMAND} bytes",
-                command.len()
-            );
-            return Err(RequestError::Refused(reason));
-        }
-        let permit = self.acquire_memory(command.len() / MEMORY_UNIT + 1).await?;
+        let permit = self.acquire_command_memory(&command).await?;
         let command = Bytes::from(command);
         self.request_answer(|answer| Request::Propose(command, answer, permit))
             .await
     }
 
+    /// As [`Self::propose`], but only if no entry was appended after the one at `index`, to which the
+    /// state was read by [`Self::read_with_index`]. The command may therefore depend on that state.
+    ///
+    /// # Errors
+    /// [`RequestError`]; [`RequestError::Superseded`] if there is a later entry, applied or not.
+    pub async fn propose_after(
+        &self,
+        index: u64,
+        command: Vec<u8>,
+    ) -> Result<Vec<u8>, RequestError> {
+        let permit = self.acquire_command_memory(&command).await?;
+        let command = Bytes::from(command);
+        self.request_answer(|answer| Request::ProposeAfter(command, index, answer, permit))
+            .await
+    }
+
     /// Linearizable read: calls `read` with the state after the leader has confirmed its
     /// leadership, so that the state includes all commands that were accepted before the call.
     ///
@@ -174,11 +189,22 @@
     pub async fn read<R: Send + 'static>(
         &self,
         read: impl FnOnce(&S) -> R + Send + 'static,
+    ) -> Result<R, RequestError> {
+        self.read_with_index(|state, _| read(state)).await
+    }
+
+    /// As [`Self::read`]; `read` also gets the index of the last entry that the state includes.
+    ///
+    /// # Errors
+    /// See [`Self::read`].
+    pub async fn read_with_index<R: Send + 'static>(
+        &self,
+        read: impl FnOnce(&S, u64) -> R + Send + 'static,
     ) -> Result<R, RequestError> {
         let (tx, rx) = oneshot::channel();
-        let run = Box::new(move |state: Result<&S, RequestError>| {
+        let run = Box::new(move |state: Result<(&S, u64), RequestError>| {
             // The reader may no longer be waiting.
-            let _gone = tx.send(state.map(read));
+            let _gone = tx.send(state.map(|(state, index)| read(state, index)));
         });
         let permit = self.acquire_memory(1).await?;
         self.send_request(Request::Read(run, permit))?;
@@ -288,6 +314,21 @@
         let _ended = self.send_request(Request::Stop);
     }
 
+    /// Waits until memory for a command is available.
+    async fn acquire_command_memory(
+        &self,
+        command: &[u8],
+    ) -> Result<OwnedSemaphorePermit, RequestError> {
+        if command.len() > MAX_COMMAND {
+            let reason = format!(
+                "command of {} bytes exceeds the maximum of {MAX_COMMAND} bytes",
+                command.len()
+            );
+            return Err(RequestError::Refused(reason));
+        }
+        self.acquire_memory(command.len() / MEMORY_UNIT + 1).await
+    }
+
     /// Waits until memory for a request is available.
     async fn acquire_memory(&self, units: usize) -> Result<OwnedSemaphorePermit, RequestError> {
         Arc::clone(&self.memory_permits)
--- a/src/replica/tests.rs
+++ b/src/replica/tests.rs
@@ -179,6 +179,31 @@
     }
 }
 
+/// Guards against two commands that were checked against the same state and are both applied.
+#[tokio::test]
+async fn one_of_the_commands_that_follow_a_read_is_applied() {
+    let root = TempDir::new().unwrap();
+    let folders = folders(&root, 1);
+    let network = Network::default();
+    let running = network.start(options(&folders[0]));
+    running.0.wait_until_leader().await.unwrap();
+    let index = running.0.read_with_index(|_, index| index).await.unwrap();
+    let results = tokio::join!(
+        running.0.propose_after(index, b"a".to_vec()),
+        running.0.propose_after(index, b"b".to_vec())
+    );
+    assert_eq!(results, (Ok(b"1".to_vec()), Err(RequestError::Superseded)));
+    let (lines, index) = running
+        .0
+        .read_with_index(|lines, index| (lines.clone(), index))
+        .await
+        .unwrap();
+    assert_eq!(lines, [b"a".to_vec()]);
+    let third = running.0.propose_after(index, b"c".to_vec()).await;
+    assert_eq!(third, Ok(b"2".to_vec()));
+    stop(running);
+}
+
 /// Guards against a replacement replica that never receives the entries that were compacted into a
 /// snapshot.
 #[tokio::test]
