--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -6,6 +6,7 @@
         body::Body,
         claim_client::{CLAIM_PATH, ClaimAnswer, PEEK_PATH, PeekAnswer},
         claims::{self, ClaimKey, Claims, Command},
+        clock::unix_time_ms,
         error::Result,
         peer::{self, Client},
         replica::{self, Handle, Options, RequestError, StateMachine},
@@ -13,10 +14,7 @@
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    std::{
-        thread::JoinHandle,
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::thread::JoinHandle,
 };
 
 /// Starts the replica on its data folder.
@@ -93,10 +91,3 @@
         Err(RequestError::Lost) => ClaimAnswer::Lost,
     }
 }
-
-/// Returns the wall-clock time of this VM in milliseconds since 1970.
-pub(super) fn unix_time_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
-}
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{
-        claims::unix_time_ms,
         config::ConfigReplica,
         health, identity,
         members::{self, get_members, post_members},
@@ -11,6 +10,7 @@
         api::{self, ApiRequest, ResponseFuture, Route},
         body::Body,
         call,
+        clock::unix_time_ms,
         edits::{EditCommand, EditId, EditReply},
         events::Event,
         lists::{self, AnnouncedServers, Lists, Problem},
--- a/src/control/replace.rs
+++ b/src/control/replace.rs
@@ -1,8 +1,9 @@
 //! Replacement of both lists in one edit, for interfaces that send them as one document.
 
 use {
-    super::{claims::unix_time_ms, config::ConfigReplica, identity, operators::change_between},
+    super::{config::ConfigReplica, identity, operators::change_between},
     crate::{
+        clock::unix_time_ms,
         edits::{EditCommand, EditId, EditReply, InterfaceData},
         events::Event,
         lists::Lists,
--- a/src/control/tree.rs
+++ b/src/control/tree.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         body::Body,
+        clock::unix_time_ms,
         edits::State,
         endpoints::Directory,
         events::Event,
@@ -29,7 +30,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{Mutex as AsyncMutex, Notify},
@@ -76,8 +77,7 @@
     /// Starts the tree of the replica `member` behind `handle`, with its tasks.
     pub(super) fn start(handle: Handle<State>, client: Client, member: Member) -> Arc<Self> {
         let now = Instant::now();
-        let started = SystemTime::now().duration_since(UNIX_EPOCH);
-        let incarnation = started.map_or(1, |since| since.as_millis() as u64);
+        let incarnation = unix_time_ms().max(1);
         let tree = Arc::new(Self {
             handle,
             hub: Mutex::new(Hub::new(member, incarnation, Config::default(), now)),
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -7,6 +7,7 @@
 use {
     super::{event::Event as CallEvent, shared::Shared},
     crate::{
+        clock::unix_time_ms,
         endpoints::EndpointChanges,
         events::Event as LogEvent,
         log_event,
@@ -23,7 +24,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant},
     },
     tokio::{
         sync::Notify,
@@ -64,8 +65,7 @@
             data_centre: cfg.data_centre.clone(),
             region: cfg.region.clone(),
         };
-        let started = SystemTime::now().duration_since(UNIX_EPOCH);
-        let incarnation = started.map_or(1, |since| since.as_millis() as u64);
+        let incarnation = unix_time_ms().max(1);
         let control = cfg.control.clone();
         let uplink = Uplink::new(member, incarnation, control, Instant::now());
         Arc::new(Self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim_client;
 pub mod claims;
 pub mod cli;
+pub mod clock;
 pub mod control;
 pub mod daemon;
 pub mod dev;
