Remember that a backend server has left apart from its announcement

Cause: a departure was recorded in the announcement of the server only. A daemon without one, such as after a restart, after the end of the lease or after a refused connection, acknowledged it and kept nothing. The number of the last heartbeat and the draining state were lost in the same way. Evidence: endpoint-draining and, 3 s later, endpoint-announced with the same incarnation at that daemon. On the code before, these failed: a_departure_that_a_restarted_daemon_acknowledged_is_final (200, not 503), a_late_heartbeat_does_not_bring_back_an_unknown_server_that_left, a_late_heartbeat_does_not_bring_back_a_server_that_is_gone and what_a_server_said_outlives_its_lease (Serving in place of none). Not seen to fail: a_server_that_runs_is_used_again, which guards against servers that are kept out. Change: the latest starts of the servers beside a daemon are remembered apart from the announcement, with what they said last. Why it works: any heartbeat is compared with what is remembered of its start, whether or not the server is announced at that moment.

--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -170,6 +170,8 @@
         server: &'a str,
         /// Incarnation that terminates; `None` stands for the announced one.
         incarnation: Option<u64>,
+        /// Time of day in milliseconds since the Unix epoch.
+        unix_ms: u64,
     },
     /// The own backend server does not accept connections.
     ServerUnreachable {
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -1,6 +1,7 @@
 //! Reducer over the calls of one daemon: as entry daemon it chooses backend servers, as owner
 //! daemon it admits calls to the slots of its own backend server.
 
+mod incarnations;
 mod own_server;
 mod routing;
 #[cfg(test)]
@@ -19,14 +20,15 @@
         call::Call,
         events::Event as LogEvent,
         log_event,
-        model::{ServerName, ServiceName},
+        model::ServiceName,
         retry::Budget,
         routes::Snapshot,
         split::TrafficSplits,
         suspects::Suspects,
     },
+    incarnations::Incarnations,
     std::{
-        collections::{HashMap, VecDeque},
+        collections::HashMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -39,13 +41,8 @@
     pub announcement: Announcement,
     /// Time at which the lease of the announcement ends.
     pub lease_until: Instant,
-    /// Sequence number of the announcement; without one, late announcements are not detected.
-    sequence: Option<u64>,
 }
 
-/// Name and incarnation of a backend server.
-type ServerIncarnation = (ServerName, u64);
-
 /// State of the reducer of one daemon.
 #[derive(Debug)]
 pub struct State {
@@ -62,8 +59,8 @@
     /// Time by which calls must be answered, before a shutdown closes their connections.
     answer_by: Option<Instant>,
     announce_lease: Duration,
-    /// Ended incarnations, whose delayed announcements are ignored.
-    ended_incarnations: VecDeque<ServerIncarnation>,
+    /// Latest starts of backend servers, whose delayed announcements are ignored.
+    incarnations: Incarnations,
 }
 
 impl State {
@@ -82,7 +79,7 @@
             draining: false,
             answer_by: None,
             announce_lease,
-            ended_incarnations: VecDeque::new(),
+            incarnations: Incarnations::default(),
         }
     }
 
@@ -167,7 +164,8 @@
             Event::ServerLeaving {
                 server,
                 incarnation,
-            } => self.server_leaving(server, incarnation, now),
+                unix_ms,
+            } => self.server_leaving(server, incarnation, unix_ms, now),
             Event::ServerUnreachable { incarnation } => self.remove_server(incarnation, now),
             Event::RoutesChanged(snapshot) => {
                 self.set_snapshot(snapshot, now);
--- a/src/daemon/state/own_server.rs
+++ b/src/daemon/state/own_server.rs
@@ -20,10 +20,6 @@
 /// Retry delay of a suspect that was refused because a suspect is in flight.
 const SUSPECT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Largest number of ended incarnations kept; an announcement is delayed by seconds at most, so
-/// older ones are not needed.
-const MAX_ENDED_INCARNATIONS: usize = 32;
-
 impl State {
     pub(super) fn start_run(
         &mut self,
@@ -79,49 +75,48 @@
 
     /// Returns whether a newer announcement was applied, or the incarnation has ended. An
     /// announcement without a sequence number is never stale.
-    fn is_stale(&self, announcement: &Announcement, heartbeat: HeartbeatInfo) -> bool {
+    fn is_stale(
+        &self,
+        announcement: &Announcement,
+        heartbeat: HeartbeatInfo,
+        now: Instant,
+    ) -> bool {
         let Some(sequence) = heartbeat.sequence else {
             return false;
         };
-        let ended = (announcement.server.clone(), announcement.incarnation);
-        if self.ended_incarnations.contains(&ended) {
+        if self.incarnations.is_stale(announcement, sequence, now) {
             return true;
         }
-        self.server.as_ref().is_some_and(|current| {
-            let known = &current.announcement;
-            let same = known.server == announcement.server;
-            if same && known.incarnation == announcement.incarnation {
-                return Some(sequence) <= current.sequence;
-            }
-            announcement.incarnation < known.incarnation
-        })
-    }
-
-    fn remember_ended(&mut self, announcement: &Announcement) {
-        if self.ended_incarnations.len() >= MAX_ENDED_INCARNATIONS {
-            self.ended_incarnations.pop_front();
-        }
-        let ended = (announcement.server.clone(), announcement.incarnation);
-        self.ended_incarnations.push_back(ended);
+        let current = self.server.as_ref().map(|server| &server.announcement);
+        current.is_some_and(|current| announcement.incarnation < current.incarnation)
     }
 
+    /// Records the end of a server, also of one that is not announced: after a restart of the daemon a
+    /// heartbeat that was sent before may still arrive.
     pub(super) fn server_leaving(
         &mut self,
         name: &str,
         incarnation: Option<u64>,
+        unix_ms: u64,
         now: Instant,
     ) -> Vec<Effect> {
-        let Some(server) = &mut self.server else {
+        let name = ServerName::from(name);
+        let announced = self
+            .server
+            .as_mut()
+            .map(|server| &mut server.announcement)
+            .filter(|announced| announced.server == name)
+            .filter(|announced| incarnation.is_none_or(|leaving| leaving == announced.incarnation));
+        let Some(announcement) = announced else {
+            match incarnation {
+                Some(incarnation) => self.incarnations.record_end(&name, incarnation),
+                None => self.incarnations.record_unnamed_end(name, unix_ms, now),
+            }
             return Vec::new();
         };
-        let announcement = &mut server.announcement;
-        let same = incarnation.is_none_or(|leaving| leaving == announcement.incarnation);
-        if announcement.server.as_str() != name || !same {
-            return Vec::new();
-        }
         announcement.state = ServerState::Draining;
-        let leaving = announcement.clone();
-        self.remember_ended(&leaving);
+        self.incarnations
+            .record_end(&name, announcement.incarnation);
         let mut effects = self.refuse_waiting(now);
         effects.push(Effect::ReportEndpoint);
         effects
@@ -133,15 +128,14 @@
         heartbeat: HeartbeatInfo,
         now: Instant,
     ) -> Vec<Effect> {
-        if self.is_stale(announcement, heartbeat) {
+        if self.is_stale(announcement, heartbeat, now) {
             return Vec::new();
         }
         let mut announcement = announcement.clone();
-        if let Some(current) = &self.server {
-            let known = &current.announcement;
-            let same = known.server == announcement.server
-                && known.incarnation == announcement.incarnation;
-            if same && known.state == ServerState::Draining && heartbeat.sequence.is_some() {
+        if heartbeat.sequence.is_some() {
+            self.incarnations.record(&announcement, heartbeat.sequence);
+            let (server, incarnation) = (&announcement.server, announcement.incarnation);
+            if self.incarnations.is_draining(server, incarnation) {
                 // Other daemons have acted on the drain, so an incarnation never leaves it.
                 announcement.state = ServerState::Draining;
             }
@@ -150,7 +144,6 @@
         let before = self.server.replace(OwnServer {
             announcement: announcement.clone(),
             lease_until,
-            sequence: heartbeat.sequence,
         });
         if before.as_ref().map(|server| &server.announcement) == Some(&announcement) {
             return Vec::new();
@@ -159,7 +152,9 @@
             && (&before.announcement.server, before.announcement.incarnation)
                 != (&announcement.server, announcement.incarnation)
         {
-            self.remember_ended(&before.announcement);
+            let ended = &before.announcement;
+            self.incarnations
+                .record_end(&ended.server, ended.incarnation);
         }
         let restarted = before
             .as_ref()
@@ -187,10 +182,11 @@
 
     pub(super) fn remove_server(&mut self, incarnation: u64, now: Instant) -> Vec<Effect> {
         let same = |server: &OwnServer| server.announcement.incarnation == incarnation;
-        if !self.server.as_ref().is_some_and(same) {
+        let Some(removed) = self.server.take_if(|server| same(server)) else {
             return Vec::new();
-        }
-        self.server = None;
+        };
+        self.incarnations
+            .forget_unnamed(&removed.announcement.server);
         let mut effects = self.refuse_waiting(now);
         effects.push(Effect::ReportEndpoint);
         effects
--- a/src/daemon/state/tests.rs
+++ b/src/daemon/state/tests.rs
@@ -1,5 +1,7 @@
 //! Transfers of large bodies from other daemons.
 
+mod leaving;
+
 use {
     super::*,
     crate::{
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -4,6 +4,7 @@
     super::heartbeat::{decode_heartbeat, decode_shutdown},
     crate::{
         api::{self, ApiRequest, ResponseFuture, Route},
+        clock::unix_time_ms,
         daemon::{event::Event, local, shared::Shared},
         log_event,
     },
@@ -77,6 +78,7 @@
             Event::ServerLeaving {
                 server,
                 incarnation,
+                unix_ms: unix_time_ms(),
             },
         );
         api::json_response(StatusCode::OK, &serde_json::json!({}))
