Keep an acknowledged drain when the daemon is started again

A daemon that had acknowledged that its backend server was draining or had left knew nothing of it after a restart.

Cause: a daemon has no disk, and what it acknowledged was in its memory only. Its record was still held by other processes, but the restarted daemon did not read it, and the first heartbeat replaced it. A drain was acknowledged before any other process had the record. Change: a started daemon holds heartbeats back until it has received all records once, 3 s at most, and takes over which servers were draining. Drains and departures are acknowledged once the source has the record. Servers without a heartbeat in these 3 s are taken out of the record. Why it works: the acknowledgement is given only when a second process holds what was promised, and a daemon reads it before it uses a server.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
 mod send_result;
 pub mod shared;
 pub mod state;
-mod tree;
+pub(crate) mod tree;
 
 use {
     self::{event::Event, shared::Shared, tree::Tree},
@@ -123,9 +123,11 @@
         let shared = Shared::new(cfg, advertised)?;
         let tree = Tree::new(Arc::clone(&shared));
         let callers = serve_callers(&shared, &tree, listeners.callers);
-        let local = serve_local(&shared, listeners.local);
+        let local = serve_local(&shared, &tree, listeners.local);
         let peer = serve_peers(&shared, &tree, listeners.peer, &token)?;
-        let ready = listeners.ready.map(|port| serve_local(&shared, port));
+        let ready = listeners
+            .ready
+            .map(|port| serve_local(&shared, &tree, port));
         log_event!(
             LogEvent::Started,
             program = "anvilbeam-daemon",
@@ -257,8 +259,8 @@
     })
 }
 
-fn serve_local(shared: &Arc<Shared>, listener: TcpListener) -> Server {
-    let router = local::router(shared);
+fn serve_local(shared: &Arc<Shared>, tree: &Arc<Tree>, listener: TcpListener) -> Server {
+    let router = local::router(shared, tree);
     serve::serve(listener, move |req, peer| {
         serve::handle_with_gotham(router.clone(), req, peer)
     })
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -164,6 +164,9 @@
     SuspectsReported(&'a Report),
     /// The own backend server announced itself.
     Announced(&'a Announcement, HeartbeatInfo),
+    /// The records of all daemons have arrived for the first time since the start; with the endpoints in
+    /// the record that this daemon wrote in its run before.
+    Synchronized(&'a [Endpoint]),
     /// The own backend server is about to terminate.
     ServerLeaving {
         /// Its name.
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -2,13 +2,12 @@
 //! routing explanations.
 
 use {
-    super::{event::Event, shared::Shared, state::State},
+    super::{event::Event, shared::Shared, state::State, tree::Tree},
     crate::{
         announce::{ANNOUNCE_PATH, AnnounceAnswer, Announcement, HeartbeatInfo, MAX_SLOTS},
         api::{self, ApiRequest, ResponseFuture, Route},
         body::Body,
-        events::Event as LogEvent,
-        lists, log_event,
+        lists,
         model::{Endpoint, PathPrefix, PlanName, Rank, ServerState, ServiceName},
         operator_api::{Candidate, EXPLAIN, ExplainGrant, ExplainResponse},
         platform,
@@ -25,11 +24,11 @@
 };
 
 /// Returns the router of the local port.
-pub(super) fn router(shared: &Arc<Shared>) -> Router {
+pub(super) fn router(shared: &Arc<Shared>, tree: &Arc<Tree>) -> Router {
     let handler = |function| Route::new(Arc::clone(shared), function);
     build_simple_router(|route| {
         if shared.cfg.interface == Interface::Platform {
-            platform::upstream_routes(route, shared);
+            platform::upstream_routes(route, tree);
         }
         route.post(ANNOUNCE_PATH).to_new_handler(handler(announce));
         route.get("/metrics").to_new_handler(handler(metrics));
@@ -45,7 +44,10 @@
             Ok(announcement) => announcement,
             Err(reason) => return api::text_response(StatusCode::BAD_REQUEST, &reason),
         };
-        apply_announcement(&shared, &announcement, HeartbeatInfo::default());
+        shared.dispatch(
+            None,
+            Event::Announced(&announcement, HeartbeatInfo::default()),
+        );
         let answer = AnnounceAnswer {
             lease_ms: shared.cfg.announce_lease.as_millis() as u64,
             running: shared.state().admission().running(),
@@ -54,23 +56,6 @@
     })
 }
 
-/// Applies an announcement; logs it if it differs from the current one.
-pub(crate) fn apply_announcement(
-    shared: &Shared,
-    announcement: &Announcement,
-    heartbeat: HeartbeatInfo,
-) {
-    let current = |shared: &Shared| {
-        let state = shared.state();
-        state.server().map(|server| server.announcement.clone())
-    };
-    let before = current(shared);
-    shared.dispatch(None, Event::Announced(announcement, heartbeat));
-    if before != current(shared) {
-        log_announcement(announcement);
-    }
-}
-
 fn parse_announcement(req: &ApiRequest) -> Result<Announcement, String> {
     let announcement: Announcement =
         serde_json::from_slice(&req.body).map_err(|e| format!("invalid announcement: {e}"))?;
@@ -95,21 +80,6 @@
     Ok(())
 }
 
-fn log_announcement(announcement: &Announcement) {
-    let event = match announcement.state {
-        ServerState::Serving => LogEvent::EndpointAnnounced,
-        ServerState::Draining => LogEvent::EndpointDraining,
-    };
-    log_event!(
-        event,
-        server = announcement.server,
-        service = announcement.service,
-        address = announcement.address,
-        slots = announcement.slots,
-        incarnation = announcement.incarnation,
-    );
-}
-
 fn metrics(shared: Arc<Shared>, _req: ApiRequest) -> ResponseFuture {
     Box::pin(async move {
         let state = shared.state();
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -12,6 +12,7 @@
         balance::Change,
         claim_client::ClaimGroup,
         dialect::Dialect,
+        endpoints::ENDPOINT_LEASE,
         error::Result,
         events::Event as LogEvent,
         log_event,
@@ -91,7 +92,9 @@
             capacity: Capacity::new(&cfg, Instant::now()),
             endpoint_changed: Notify::new(),
             reported_suspects: AsyncMutex::new(0),
-            state: Mutex::new(State::new(cfg.announce_lease)),
+            state: Mutex::new(
+                State::new(cfg.announce_lease).recovering_until(Instant::now() + ENDPOINT_LEASE),
+            ),
             waiting: Mutex::default(),
             backend: Mutex::default(),
             next_call: AtomicU64::new(1),
@@ -210,7 +213,10 @@
             address: self.advertised,
             data_centre: self.cfg.data_centre.clone(),
             region: self.cfg.region.clone(),
-            slots: announcement.slots,
+            slots: match announcement.state {
+                ServerState::Serving => announcement.slots,
+                ServerState::Draining => 0,
+            },
             state: if state.is_draining() {
                 ServerState::Draining
             } else {
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -27,6 +27,7 @@
         suspects::Suspects,
     },
     incarnations::Incarnations,
+    own_server::Recovery,
     std::{
         collections::HashMap,
         sync::Arc,
@@ -61,6 +62,8 @@
     announce_lease: Duration,
     /// Latest starts of backend servers, whose delayed announcements are ignored.
     incarnations: Incarnations,
+    /// What a daemon that has just started waits for; `None` afterwards.
+    recovery: Option<Recovery>,
 }
 
 impl State {
@@ -80,9 +83,22 @@
             answer_by: None,
             announce_lease,
             incarnations: Incarnations::default(),
+            recovery: None,
         }
     }
 
+    /// Lets the daemon wait for the record that it wrote in its run before, until `until` at most,
+    /// before a backend server is used.
+    #[must_use]
+    pub fn recovering_until(mut self, until: Instant) -> Self {
+        self.recovery = Some(Recovery {
+            until,
+            synchronized: false,
+            held: None,
+        });
+        self
+    }
+
     /// Returns the routes in force; `None` until the first version is applied.
     pub const fn snapshot(&self) -> Option<&Arc<Snapshot>> {
         self.snapshot.as_ref()
@@ -161,6 +177,7 @@
             Event::Announced(announcement, heartbeat) => {
                 self.announced(announcement, heartbeat, now)
             }
+            Event::Synchronized(former) => self.synchronized(former, now),
             Event::ServerLeaving {
                 server,
                 incarnation,
@@ -277,6 +294,12 @@
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        let mut effects = self.end_recovery(now);
+        effects.extend(self.expire(now));
+        effects
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<Effect> {
         let lapsed = |server: &OwnServer| server.lease_until <= now;
         if let Some(server) = self.server.as_ref().filter(|server| lapsed(server)) {
             let Announcement {
--- a/src/daemon/state/incarnations.rs
+++ b/src/daemon/state/incarnations.rs
@@ -63,6 +63,11 @@
         known.draining |= announcement.state == ServerState::Draining;
     }
 
+    /// Records that a start of a server is draining.
+    pub(super) fn record_draining(&mut self, server: &ServerName, incarnation: u64) {
+        self.entry(server, incarnation).draining = true;
+    }
+
     /// Records that a start of a server is over.
     pub(super) fn record_end(&mut self, server: &ServerName, incarnation: u64) {
         self.entry(server, incarnation).ended = true;
--- a/src/daemon/state/own_server.rs
+++ b/src/daemon/state/own_server.rs
@@ -10,7 +10,9 @@
     },
     crate::{
         announce::{Announcement, HeartbeatInfo},
-        model::{ServerName, ServerState},
+        events::Event as LogEvent,
+        log_event,
+        model::{Endpoint, ServerName, ServerState},
         refusal::{Reason, Refusal},
         suspects::{Fingerprint, Verdict},
     },
@@ -20,6 +22,20 @@
 /// Retry delay of a suspect that was refused because a suspect is in flight.
 const SUSPECT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// What a daemon waits for that has just started.
+///
+/// It does not know what its backend server has said before; other daemons have its record of that time.
+/// Without it, a delayed heartbeat could bring back a server that is draining or has left.
+#[derive(Debug)]
+pub(super) struct Recovery {
+    /// Time at which the record has lapsed at the other daemons.
+    pub(super) until: Instant,
+    /// Whether the records of all daemons have arrived.
+    pub(super) synchronized: bool,
+    /// Last heartbeat of a server that accepts calls, to be applied after that.
+    pub(super) held: Option<(Announcement, HeartbeatInfo)>,
+}
+
 impl State {
     pub(super) fn start_run(
         &mut self,
@@ -128,7 +144,7 @@
         heartbeat: HeartbeatInfo,
         now: Instant,
     ) -> Vec<Effect> {
-        if self.is_stale(announcement, heartbeat, now) {
+        if self.is_stale(announcement, heartbeat, now) || self.is_held(announcement, heartbeat) {
             return Vec::new();
         }
         let mut announcement = announcement.clone();
@@ -148,6 +164,7 @@
         if before.as_ref().map(|server| &server.announcement) == Some(&announcement) {
             return Vec::new();
         }
+        log_announcement(&announcement);
         if let Some(before) = &before
             && (&before.announcement.server, before.announcement.incarnation)
                 != (&announcement.server, announcement.incarnation)
@@ -180,6 +197,72 @@
         effects
     }
 
+    /// Keeps a heartbeat that cannot be judged before the records of all daemons have arrived.
+    fn is_held(&mut self, announcement: &Announcement, heartbeat: HeartbeatInfo) -> bool {
+        let recovery = self
+            .recovery
+            .as_mut()
+            .filter(|recovery| !recovery.synchronized);
+        let Some(recovery) = recovery else {
+            return false;
+        };
+        if heartbeat.sequence.is_none() || announcement.state == ServerState::Draining {
+            return false;
+        }
+        let is_newer = recovery.held.as_ref().is_none_or(|(held, info)| {
+            (announcement.incarnation, heartbeat.sequence) > (held.incarnation, info.sequence)
+        });
+        if is_newer {
+            recovery.held = Some((announcement.clone(), heartbeat));
+        }
+        true
+    }
+
+    /// Takes over what the servers had said before the daemon was started again.
+    pub(super) fn synchronized(&mut self, former: &[Endpoint], now: Instant) -> Vec<Effect> {
+        let draining = former
+            .iter()
+            .filter(|endpoint| endpoint.state == ServerState::Draining && endpoint.slots == 0);
+        for endpoint in draining {
+            self.incarnations
+                .record_draining(&endpoint.server, endpoint.incarnation);
+        }
+        let Some(recovery) = &mut self.recovery else {
+            return Vec::new();
+        };
+        recovery.synchronized = true;
+        self.apply_held(now)
+    }
+
+    fn apply_held(&mut self, now: Instant) -> Vec<Effect> {
+        let held = self
+            .recovery
+            .as_mut()
+            .and_then(|recovery| recovery.held.take());
+        held.map_or_else(Vec::new, |(announcement, heartbeat)| {
+            self.announced(&announcement, heartbeat, now)
+        })
+    }
+
+    /// Ends the wait after the start of the daemon. A server that has not announced itself by then is
+    /// taken out of the record of the run before.
+    pub(super) fn end_recovery(&mut self, now: Instant) -> Vec<Effect> {
+        let Some(recovery) = self
+            .recovery
+            .as_mut()
+            .filter(|recovery| recovery.until <= now)
+        else {
+            return Vec::new();
+        };
+        recovery.synchronized = true;
+        let mut effects = self.apply_held(now);
+        self.recovery = None;
+        if self.server.is_none() {
+            effects.push(Effect::ReportEndpoint);
+        }
+        effects
+    }
+
     pub(super) fn remove_server(&mut self, incarnation: u64, now: Instant) -> Vec<Effect> {
         let same = |server: &OwnServer| server.announcement.incarnation == incarnation;
         let Some(removed) = self.server.take_if(|server| same(server)) else {
@@ -192,3 +275,18 @@
         effects
     }
 }
+
+fn log_announcement(announcement: &Announcement) {
+    let event = match announcement.state {
+        ServerState::Serving => LogEvent::EndpointAnnounced,
+        ServerState::Draining => LogEvent::EndpointDraining,
+    };
+    log_event!(
+        event,
+        server = announcement.server,
+        service = announcement.service,
+        address = announcement.address,
+        slots = announcement.slots,
+        incarnation = announcement.incarnation,
+    );
+}
--- a/src/daemon/state/tests/leaving.rs
+++ b/src/daemon/state/tests/leaving.rs
@@ -1,6 +1,6 @@
 //! Backend servers that leave, and their heartbeats that arrive late.
 
-use super::*;
+use {super::*, crate::model::Endpoint};
 
 /// Time of day at which the servers of these tests leave.
 const LEFT_AT_MS: u64 = 1_000_000;
@@ -126,3 +126,70 @@
     let unnamed = heartbeat(&mut state, 0, 1, ServerState::Serving, later);
     assert_eq!(unnamed, Some(ServerState::Serving));
 }
+
+/// Time for which a daemon waits for the record of its run before.
+const RECOVERY: Duration = Duration::from_secs(3);
+
+/// Returns the endpoint of the server in the record of the run before.
+fn former_endpoint(slots: u32) -> Endpoint {
+    Endpoint {
+        server: "server-1".into(),
+        service: "roll".into(),
+        daemon: "daemon-1".into(),
+        address: ([127, 0, 0, 1], 2).into(),
+        data_centre: "r1-a".into(),
+        region: "r1".into(),
+        slots,
+        state: ServerState::Draining,
+        incarnation: STARTED_AT_MS,
+    }
+}
+
+/// Guards against a server that had announced its drain before its daemon was started again, and that a
+/// late heartbeat brings back; and against a server that stays out since only its daemon had drained.
+#[test]
+fn a_drain_outlives_a_restart_of_the_daemon() {
+    let now = Instant::now();
+    for (slots, expected) in [(0, ServerState::Draining), (4, ServerState::Serving)] {
+        let mut state = State::new(LEASE).recovering_until(now + RECOVERY);
+        let early = heartbeat(&mut state, STARTED_AT_MS, 4, ServerState::Serving, now);
+        assert_eq!(early, None, "used before the record was known");
+        let former = [former_endpoint(slots)];
+        state.handle(Event::Synchronized(&former), now, 0);
+        let server = state.server().expect("the heartbeat is applied now");
+        assert_eq!(server.announcement.state, expected);
+    }
+}
+
+/// Guards against a server that is not used while no source can be reached, against a drain that is held
+/// back, and against an older heartbeat that replaces a newer one while both wait.
+#[test]
+fn the_wait_after_a_start_is_bounded() {
+    let now = Instant::now();
+    let mut state = State::new(LEASE).recovering_until(now + RECOVERY);
+    heartbeat(&mut state, STARTED_AT_MS, 4, ServerState::Serving, now);
+    heartbeat(&mut state, STARTED_AT_MS, 3, ServerState::Serving, now);
+    state.handle(Event::Tick, now + RECOVERY, 0);
+    let server = state.server().expect("the heartbeat is applied now");
+    assert_eq!(server.announcement.state, ServerState::Serving);
+    let repeated = heartbeat(&mut state, STARTED_AT_MS, 4, ServerState::Draining, now);
+    assert_eq!(repeated, Some(ServerState::Serving), "number 4 was applied");
+
+    let mut state = State::new(LEASE).recovering_until(now + RECOVERY);
+    let drain = heartbeat(&mut state, STARTED_AT_MS, 4, ServerState::Draining, now);
+    assert_eq!(drain, Some(ServerState::Draining));
+}
+
+/// Guards against a server in the record of the run before that stays in use, although it has not
+/// announced itself since.
+#[test]
+fn a_server_without_a_heartbeat_is_taken_out_after_a_restart() {
+    let now = Instant::now();
+    let mut state = State::new(LEASE).recovering_until(now + RECOVERY);
+    state.handle(Event::Synchronized(&[former_endpoint(4)]), now, 0);
+    let is_report = |effect: &Effect| matches!(effect, Effect::ReportEndpoint);
+    let effects = state.handle(Event::Tick, now, 0);
+    assert!(!effects.iter().any(is_report), "{effects:?}");
+    let effects = state.handle(Event::Tick, now + RECOVERY, 0);
+    assert!(effects.iter().any(is_report), "{effects:?}");
+}
--- a/src/daemon/tree.rs
+++ b/src/daemon/tree.rs
@@ -125,6 +125,26 @@
         self.step(Event::Tick);
     }
 
+    /// Reports the endpoint of the own backend server and waits until another process has it; returns
+    /// whether that was so by `deadline`.
+    pub async fn await_endpoint_confirmed(self: &Arc<Self>, deadline: Instant) -> bool {
+        self.report_endpoint();
+        loop {
+            let confirmed = self.confirmed.notified();
+            if self.uplink().is_record_confirmed() {
+                return true;
+            }
+            if timeout_at(deadline.into(), confirmed).await.is_err() {
+                return self.uplink().is_record_confirmed();
+            }
+        }
+    }
+
+    /// Returns the state that the tasks of the daemon share.
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     /// Records that a peer has a version newer than the own one.
     pub fn record_peer_version(self: &Arc<Self>, peer: &DaemonName, version: Version) {
         self.step(Event::PeerVersion {
@@ -302,6 +322,9 @@
                 tokio::spawn(Arc::clone(self).fetch(address, version));
             }
             Effect::PublishEndpoints(changed) => log_endpoints(&changed),
+            Effect::Synchronized(former) => {
+                self.shared.dispatch(None, CallEvent::Synchronized(&former));
+            }
             // Done by `swap_routes`, `step_report` and `send_to_child`.
             Effect::Publish(_)
             | Effect::AnswerReport(_)
--- a/src/endpoints/directory.rs
+++ b/src/endpoints/directory.rs
@@ -402,6 +402,11 @@
         self.held.get(daemon).map(|held| &*held.record)
     }
 
+    /// Returns the number of the last change of a daemon's record; `None` if it is unknown.
+    pub fn last_change_of(&self, daemon: &DaemonName) -> Option<u64> {
+        self.held.get(daemon).map(|held| held.change)
+    }
+
     /// Returns the number of records, with lapsed ones.
     pub fn len(&self) -> usize {
         self.held.len()
--- a/src/model.rs
+++ b/src/model.rs
@@ -299,7 +299,8 @@
     pub data_centre: DataCentre,
     /// Region of the data centre.
     pub region: Region,
-    /// Maximum number of calls that it runs concurrently.
+    /// Maximum number of calls that it runs concurrently; 0 if the server itself is draining, and not
+    /// only its daemon.
     pub slots: u32,
     /// Whether it accepts new calls.
     pub state: ServerState,
--- a/src/relays/node.rs
+++ b/src/relays/node.rs
@@ -12,7 +12,7 @@
         endpoints::{Directory, EndpointChanges, Origin, Record, Stamp},
         events::Event as LogEvent,
         log_event,
-        model::{Config, DaemonName, Version},
+        model::{Config, DaemonName, Endpoint, Version},
         versions::{ApplyError, ConfigDelta, ConfigStore, DeltaAssembler, DeltaPart},
         wire,
     },
@@ -142,6 +142,9 @@
     Publish(Arc<Config>),
     /// Route calls by the changed endpoints.
     PublishEndpoints(EndpointChanges),
+    /// A source has sent all of its records for the first time since the start. Contains the endpoints in
+    /// the own record of the run before.
+    Synchronized(Vec<Endpoint>),
 }
 
 /// What a stream event means for the choice of the source.
@@ -233,6 +236,8 @@
     pub(super) needs_path: bool,
     /// Latest time at which no newer version existed than this process has.
     pub(super) current_at: Option<Instant>,
+    /// Whether a source has sent all of its records.
+    pub(super) synchronized: bool,
     /// Newer version at the source, and the time at which the report was sent that learned it.
     expected: Option<(Version, Instant)>,
 }
@@ -262,6 +267,7 @@
             lag_reason: None,
             needs_path: false,
             current_at: None,
+            synchronized: false,
             expected: None,
         }
     }
@@ -546,6 +552,8 @@
             self.set_replicas(replicas);
         }
         if let Some(digest) = contents.digest {
+            // The last frame of a round contains it, and the first round all records.
+            self.synchronized = true;
             self.compare_digest(now, digest, out);
         }
     }
@@ -587,6 +595,13 @@
         }
     }
 
+    /// Returns whether the source has the current record of this process, if there is one.
+    pub(super) fn is_record_confirmed(&self) -> bool {
+        let accepted = self.link.as_ref().filter(|link| link.accepted);
+        let change = self.directory.last_change_of(&self.member.daemon);
+        accepted.is_some_and(|link| change.is_none_or(|change| change <= link.confirmed_change))
+    }
+
     pub(super) fn apply_config(&mut self, delta: &ConfigDelta) -> Result<(), ApplyError> {
         let applied = self.store.apply(delta);
         self.lag_reason = applied.as_ref().err().map(ToString::to_string);
--- a/src/relays/tests.rs
+++ b/src/relays/tests.rs
@@ -1,3 +1,5 @@
+mod former_record;
+
 use {
     super::*,
     crate::{
--- a/src/relays/uplink.rs
+++ b/src/relays/uplink.rs
@@ -112,6 +112,8 @@
     ranked_changes: u64,
     /// Whether a source may have accepted a subscription with the current record.
     record_sent: bool,
+    /// Whether an [`Effect::Synchronized`] was returned.
+    told_synchronized: bool,
     /// Last version in an [`Effect::Publish`]; `None` before the first.
     published_version: Option<Version>,
     /// State of the random number generator in the current step.
@@ -140,6 +142,7 @@
             incarnation,
             ranked_changes: 0,
             record_sent: false,
+            told_synchronized: false,
             published_version: None,
             rng_state: 0,
         }
@@ -211,6 +214,11 @@
         self.node.current_at
     }
 
+    /// Returns whether another process has the current endpoints beside this daemon.
+    pub fn is_record_confirmed(&self) -> bool {
+        self.node.is_record_confirmed()
+    }
+
     /// Returns the parts of the config delta for a peer at `version`; empty if the peer is current.
     ///
     /// # Errors
@@ -244,6 +252,7 @@
             }
         }
         self.defend_record(now, &mut out);
+        self.tell_synchronized(&mut out);
         self.publish(now, &mut out);
         self.node.serve_children(now, &mut out);
         out
@@ -479,7 +488,9 @@
     }
 
     fn set_endpoints(&mut self, now: Instant, endpoints: Vec<Endpoint>, out: &mut Vec<Effect>) {
-        if endpoints == self.endpoints {
+        if endpoints == self.endpoints
+            && (self.stamp.is_some() || self.former_endpoints().is_empty())
+        {
             return;
         }
         self.endpoints = endpoints;
@@ -524,6 +535,20 @@
         }
     }
 
+    /// Returns the endpoints in the own record of the run before, as far as a source has sent it.
+    fn former_endpoints(&self) -> &[Endpoint] {
+        let known = self.node.directory.get(&self.node.member.daemon);
+        let former = known.filter(|record| Some(record.stamp) != self.stamp);
+        former.map_or(&[], |record| &record.endpoints)
+    }
+
+    fn tell_synchronized(&mut self, out: &mut Vec<Effect>) {
+        if self.node.synchronized && !self.told_synchronized {
+            self.told_synchronized = true;
+            out.push(Effect::Synchronized(self.former_endpoints().to_vec()));
+        }
+    }
+
     fn publish(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let Some(cfg) = self.in_force() else {
             return;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -23,7 +23,11 @@
         time::{Duration, Instant},
     },
     tempfile::TempDir,
-    tokio::{net::TcpStream, time::sleep},
+    tokio::{
+        net::TcpStream,
+        runtime::{self, Runtime},
+        time::sleep,
+    },
     upstream::Upstream,
 };
 
@@ -37,9 +41,52 @@
     pub control: Control,
     pub daemon: Daemon,
     pub upstream: Upstream,
+    control_tasks: Tasks,
+    daemon_tasks: Tasks,
     _folder: TempDir,
 }
 
+/// Tasks of one process. They end at once when this is dropped, and their connections are closed.
+struct Tasks(Option<Runtime>);
+
+impl Tasks {
+    async fn start<T: Send + 'static>(
+        process: impl Future<Output = T> + Send + 'static,
+    ) -> (Self, T) {
+        let mut builder = runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build().unwrap();
+        let started = runtime.spawn(process).await.unwrap();
+        (Self(Some(runtime)), started)
+    }
+
+    fn kill(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+async fn start_daemon(control: SocketAddr) -> (Tasks, Daemon) {
+    let text = format!(
+        "name: daemon-1\nregion: r1\ndata_centre: r1-a\ncaller_address: 127.0.0.1:0\n\
+         local_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\ncontrol: [{control}]\n\
+         mesh_token: token-of-the-platform-test\ninterface: platform\nservice: desk\n\
+         grace: 2s\n",
+    );
+    let cfg = settings::Daemon::parse(Path::new("daemon.yaml"), &text).unwrap();
+    Tasks::start(async move {
+        let listeners = daemon::Listeners::bind(&cfg).await.unwrap();
+        Daemon::start(cfg, listeners).unwrap()
+    })
+    .await
+}
+
 impl Platform {
     /// Starts the processes; no configuration is in force and no backend server is known.
     pub async fn start() -> Self {
@@ -53,27 +100,51 @@
         )
         .unwrap();
         cfg.data_folder = folder.path().to_owned();
-        let listeners = control::Listeners::bind(&cfg).await.unwrap();
-        cfg.seeds = vec![listeners.peer.local_addr().unwrap()];
-        let control = Control::start(cfg, listeners, false).await.unwrap();
-        let text = format!(
-            "name: daemon-1\nregion: r1\ndata_centre: r1-a\ncaller_address: 127.0.0.1:0\n\
-             local_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\ncontrol: [{}]\n\
-             mesh_token: token-of-the-platform-test\ninterface: platform\nservice: desk\n\
-             grace: 2s\n",
-            control.peer_address()
-        );
-        let cfg = settings::Daemon::parse(Path::new("daemon.yaml"), &text).unwrap();
-        let listeners = daemon::Listeners::bind(&cfg).await.unwrap();
-        let daemon = Daemon::start(cfg, listeners).unwrap();
+        let (control_tasks, control) = Tasks::start(async move {
+            let listeners = control::Listeners::bind(&cfg).await.unwrap();
+            cfg.seeds = vec![listeners.peer.local_addr().unwrap()];
+            Control::start(cfg, listeners, false).await.unwrap()
+        })
+        .await;
+        let (daemon_tasks, daemon) = start_daemon(control.peer_address()).await;
         Self {
             control,
             daemon,
             upstream: Upstream::start().await,
+            control_tasks,
+            daemon_tasks,
             _folder: folder,
         }
     }
 
+    /// Kills the daemon and starts it again on other ports; returns once it is ready.
+    pub async fn restart_daemon(&mut self) {
+        self.daemon_tasks.kill();
+        (self.daemon_tasks, self.daemon) = start_daemon(self.control.peer_address()).await;
+        self.wait_until_ready().await;
+    }
+
+    /// Shuts the daemon down and starts it again on other ports; returns once it is ready.
+    pub async fn stop_and_start_daemon(mut self) -> Self {
+        let control = self.control.peer_address();
+        assert!(self.daemon.stop().await);
+        (self.daemon_tasks, self.daemon) = start_daemon(control).await;
+        self.wait_until_ready().await;
+        self
+    }
+
+    pub async fn wait_until_ready(&self) {
+        wait_until("the daemon is ready", || async {
+            self.readiness().await == StatusCode::OK
+        })
+        .await;
+    }
+
+    /// Kills the control replica.
+    pub fn kill_control(&mut self) {
+        self.control_tasks.kill();
+    }
+
     /// Starts the processes with one route of each kind to the service `desk`.
     pub async fn start_serving() -> Self {
         let platform = Self::start().await;
--- a/tests/tree/mod.rs
+++ b/tests/tree/mod.rs
@@ -584,7 +584,7 @@
                     let Node::Daemon(daemon) = node else { continue };
                     self.send(node, Node::at(address), Message::Fetch(daemon, version));
                 }
-                Effect::Publish(_) | Effect::PublishEndpoints(_) => {}
+                Effect::Publish(_) | Effect::PublishEndpoints(_) | Effect::Synchronized(_) => {}
             }
         }
     }
