Believe no refusal without the id of the request

A backend server that wrote a refusal without a request id made a daemon say "not run" for a request that the server ran, and send it to a server once more: a non-idempotent request ran twice and its caller was told to try again (reports of operators; a candidate for the request that users saw refused although it had run).

Cause: is_shed compared the id of the answer only if there was one. Ruled out, by reading hyper and the daemon: a connect that fails, a request that hyper hands back, a refused stream, and deadlines before the request is sent. Change: an answer declares something only about the request whose id it has; without it, the outcome is unknown. Why it works: no answer that cannot be assigned to the request is taken for a promise about it.

--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -291,11 +291,11 @@
 }
 
 /// Returns whether the backend server declares that it did not run the request. An answer with the
-/// id of another request declares nothing about this one.
+/// id of another request, or without one, declares nothing about this one.
 fn is_shed(shared: &Shared, id: Option<&HeaderValue>, response: &Response<Incoming>) -> bool {
     let name = shared.dialect.request_id.as_ref();
     let answered = name.and_then(|name| response.headers().get(name));
-    if answered.is_some() && answered != id {
+    if name.is_some() && answered != id {
         return false;
     }
     let declared = response.headers().contains_key(&shared.dialect.not_run);
--- a/tests/platform/upstream.rs
+++ b/tests/platform/upstream.rs
@@ -3,8 +3,9 @@
 use {
     super::endless::{self, Closed, Endless},
     std::{
+        collections::HashSet,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -15,6 +16,9 @@
 /// Heads of the requests that the server ran, in order.
 pub type Runs = Arc<Mutex<Vec<String>>>;
 
+/// Ids of the requests that the server has refused once.
+type Ids = Arc<Mutex<HashSet<String>>>;
+
 pub struct Upstream {
     pub address: SocketAddr,
     pub runs: Runs,
@@ -29,10 +33,16 @@
         let runs = Runs::default();
         let recorded = Arc::clone(&runs);
         let closed = Closed::default();
+        let refused_ids = Ids::default();
         let ended = Arc::clone(&closed);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&recorded), Arc::clone(&ended)));
+                tokio::spawn(serve(
+                    stream,
+                    Arc::clone(&recorded),
+                    Arc::clone(&ended),
+                    Arc::clone(&refused_ids),
+                ));
             }
         });
         Self {
@@ -44,42 +54,59 @@
 
     /// Returns how many answers without end to `path` ended because the daemon closed.
     pub fn closed_on(&self, path: &str) -> usize {
-        let closed = self.closed.lock().unwrap_or_else(PoisonError::into_inner);
+        let closed = lock(&self.closed);
         closed.iter().filter(|ended| *ended == path).count()
     }
 
     /// Returns the heads of the requests that ran and contain `text`.
     pub fn runs_of(&self, text: &str) -> Vec<String> {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let runs = lock(&self.runs);
         let matching = runs.iter().filter(|head| head.contains(text));
         matching.cloned().collect()
     }
 }
 
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns the value of a header in a request head.
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
     lines.find_map(|(key, value)| key.eq_ignore_ascii_case(name).then_some(value))
 }
 
-async fn serve(mut stream: TcpStream, runs: Runs, closed: Closed) {
+async fn serve(mut stream: TcpStream, runs: Runs, closed: Closed, refused_ids: Ids) {
     let mut buf = Vec::new();
+    // Ids of the requests that were refused on this connection.
+    let mut refused = Vec::new();
     while let Some(head) = read_request(&mut stream, &mut buf).await {
         let id = header(&head, "Anvilbeam-Request-Id")
             .unwrap_or("none")
             .to_owned();
         let path = head.split(' ').nth(1).unwrap_or("/").to_owned();
+        if path.ends_with("/refused-once") && lock(&refused_ids).insert(id.clone()) {
+            let refusal = refusal_of(&id);
+            refused.push(id);
+            if stream.write_all(refusal.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let executes = !path.contains("shed");
         if executes {
-            let mut recorded = runs.lock().unwrap_or_else(PoisonError::into_inner);
-            recorded.push(head);
+            lock(&runs).push(head);
         }
         if let Some(answer) = Endless::of_path(&path, &id) {
             answer.send(&mut stream).await;
             endless::record(&closed, &path);
             return;
         }
-        let (answer, keep_open) = scripted_answer(&path, &id);
+        let (mut answer, keep_open) = scripted_answer(&path, &id);
+        if refused.contains(&id) {
+            // A faulty server repeats its earlier refusal.
+            answer = refusal_of(&id) + &answer;
+        }
         if stream.write_all(answer.as_bytes()).await.is_err() || !keep_open {
             return;
         }
@@ -112,6 +139,14 @@
     )
 }
 
+/// Returns the answer to a request that the server has not run.
+fn refusal_of(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nAnvilbeam-Request-Id: {id}\r\n\
+         Anvilbeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// Returns the head of an answer without a length.
 fn unsized_head(id: &str, framing: &str) -> String {
     format!(
@@ -172,11 +207,17 @@
                 .to_owned(),
             false,
         ),
-        "shed" => (
+        "shed" => (refusal_of(id), true),
+        "declined-unnamed" => (
             "HTTP/1.1 503 Service Unavailable\r\nAnvilbeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 .to_owned(),
             true,
         ),
+        "408" | "421" | "429" | "503" => {
+            let status = path.rsplit('/').next().unwrap_or_default();
+            let answer = correct.replacen("200 OK", &format!("{status} Own Answer"), 1);
+            (answer, true)
+        }
         _ => (correct, true),
     }
 }
