Send a refused request on another connection if it is sent again

A backend server that wrote its refusal once more on a kept connection made a daemon refuse a request as not run that the server ran, or send it to a second server (reports of operators; a candidate for the request that users saw refused although it had run).

Cause: after a refusal the connection went back to the pool, and the same request, with the same id, was sent on it again when the call came back to that server. The copy of the refusal then had the right id. The check of the id, which guards against copies of other answers, held. Change: a connection remembers the requests that were refused on it, the last 256, and is not used for them again. Without request ids it is closed after a refusal. Why it works: a copy can only meet a request with another id, which makes its outcome unknown, or an idle connection, which closes.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -5,7 +5,7 @@
         body::{Body, Progress},
         serve,
     },
-    http::{Request, Response},
+    http::{HeaderValue, Request, Response},
     hyper::{
         body::Incoming,
         client::conn::{
@@ -15,6 +15,7 @@
     },
     hyper_util::rt::TokioIo,
     std::{
+        collections::VecDeque,
         fmt,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -77,10 +78,16 @@
     }
 }
 
+/// Number of the latest refused requests that are remembered for a connection. Earlier ones are no
+/// longer sent again.
+const MAX_REFUSED: usize = 256;
+
 /// Sender of a connection, and the task that drives it.
 struct OpenConnection {
     sender: SendRequest<Body>,
     driver: AbortHandle,
+    /// Ids of the requests that the server has refused on this connection.
+    refused: VecDeque<HeaderValue>,
 }
 
 struct IdleConnection {
@@ -131,6 +138,21 @@
         }
     }
 
+    /// Returns the connection to the pool after its server has refused the request `id`, which is not
+    /// sent on it again: if the server repeats its refusal, that would look like the answer to the
+    /// second attempt. Without an id, no answer can be told from a repeated one, so the connection is
+    /// closed.
+    pub fn return_refused(mut self, id: Option<&HeaderValue>) {
+        let Some((open, id)) = self.open.as_mut().zip(id) else {
+            return;
+        };
+        if open.refused.len() >= MAX_REFUSED {
+            open.refused.pop_front();
+        }
+        open.refused.push_back(id.clone());
+        self.return_to_pool();
+    }
+
     async fn send(
         &mut self,
         req: Request<Body>,
@@ -171,18 +193,20 @@
     /// Sends one request and waits for the head of the response.
     ///
     /// Without `reuse_idle` the request gets a new connection: an idle connection may be closed by
-    /// the server while the request is sent, which leaves the outcome unknown.
+    /// the server while the request is sent, which leaves the outcome unknown. An idle connection on
+    /// which the server has refused the request `id` is not used for it.
     ///
     /// # Errors
     /// [`CallError`] tells whether the server may have run the request.
     pub async fn send(
         self: &Arc<Self>,
         mut req: Request<Body>,
+        id: Option<&HeaderValue>,
         reuse_idle: bool,
         response_deadline: &ResponseDeadline,
     ) -> Result<(Response<Incoming>, ActiveConnection), CallError> {
         if reuse_idle {
-            while let Some(mut connection) = self.pop_idle().await {
+            while let Some(mut connection) = self.pop_idle(id).await {
                 match connection.send(req, response_deadline).await? {
                     Ok(response) => return Ok((response, connection)),
                     Err(mut failed) => match failed.take_message() {
@@ -221,12 +245,12 @@
         matches!(connected, Ok(Ok(_)))
     }
 
-    async fn pop_idle(self: &Arc<Self>) -> Option<ActiveConnection> {
+    async fn pop_idle(self: &Arc<Self>, id: Option<&HeaderValue>) -> Option<ActiveConnection> {
         loop {
             let IdleConnection {
                 mut open,
                 expires_at,
-            } = self.idle_connections().pop()?;
+            } = self.take_idle(id)?;
             // The connection task becomes ready shortly after the end of the previous response
             // body.
             let ready = timeout(Duration::from_millis(5), open.sender.ready()).await;
@@ -236,6 +260,16 @@
         }
     }
 
+    /// Removes the last used connection from the pool on which the request `id` was not refused.
+    fn take_idle(&self, id: Option<&HeaderValue>) -> Option<IdleConnection> {
+        let mut idle = self.idle_connections();
+        let is_usable = |connection: &IdleConnection| {
+            !connection.open.refused.iter().any(|old| Some(old) == id)
+        };
+        let index = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(index))
+    }
+
     async fn connect(self: &Arc<Self>) -> Result<ActiveConnection, String> {
         let stream = TcpStream::connect(self.address)
             .await
@@ -253,7 +287,11 @@
             }
         })
         .abort_handle();
-        Ok(self.active_connection(OpenConnection { sender, driver }))
+        Ok(self.active_connection(OpenConnection {
+            sender,
+            driver,
+            refused: VecDeque::new(),
+        }))
     }
 
     fn connection_error(&self, reason: impl fmt::Display) -> String {
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -232,9 +232,10 @@
     // An order gets a new connection: an idle one may close while the request is sent, which would
     // leave its claim open. Calls under a grant that sets the kind of work have no claim.
     let repeatable = call.idempotent || call.work.is_some();
-    match backend.send(req, repeatable, &response_deadline).await {
+    let sent = backend.send(req, id.as_ref(), repeatable, &response_deadline);
+    match sent.await {
         Ok((response, connection)) if is_shed(shared, id.as_ref(), &response) => {
-            connection.return_to_pool();
+            connection.return_refused(id.as_ref());
             Err(shed_refusal(&response))
         }
         Ok((response, _connection)) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -201,7 +201,7 @@
         .unwrap();
     let deadline = Instant::now() + Duration::from_secs(1);
     let sent = backend
-        .send(req, false, &ResponseDeadline::Fixed(deadline))
+        .send(req, None, false, &ResponseDeadline::Fixed(deadline))
         .await;
     let sent = sent.map(|(response, _)| response.status());
     assert_eq!(sent, Err(CallError::TimedOut));
--- a/tests/false_refusals.rs
+++ b/tests/false_refusals.rs
@@ -5,6 +5,22 @@
 
 use {http::StatusCode, platform::Platform};
 
+/// Guards against a refusal that a faulty server writes once more on the same connection, and that is
+/// taken for the answer to the second attempt of the request, which runs.
+#[tokio::test]
+async fn a_refusal_written_twice_counts_once() {
+    let platform = Platform::start_serving().await;
+    for n in 0..20 {
+        let id = format!("twice-{n}");
+        let path = format!("/unsafe/{id}/refused-once");
+        let answer = platform.call("POST", &path, &id).await.unwrap();
+        let runs = platform.upstream.runs_of(&path);
+        let promised = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!promised || runs.is_empty(), "{id} ran and got 503");
+        assert!(runs.len() <= 1, "{id} ran {} times", runs.len());
+    }
+}
+
 /// Guards against a promise that is made from a refusal without the id of the request.
 #[tokio::test]
 async fn a_refusal_of_no_request_promises_nothing() {
