--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -124,7 +124,10 @@
             b"rolls ",
         ),
         "shed" => (
-            "HTTP/1.1 503 Service Unavailable\r\nAnvilbeam-Not-Executed: 1\r\n\r\n".to_owned(),
+            format!(
+                "HTTP/1.1 503 Service Unavailable\r\nAnvilbeam-Request-Id: {id}\r\n\
+                 Anvilbeam-Not-Executed: 1\r\n\r\n"
+            ),
             b"busy ",
         ),
         "short" => (signed + "Content-Length: 10000\r\n\r\n", b"rolls "),
