Pass no status on that promises what the backend server did not say

A caller got 408, 429 or 503 for a request that a backend server had run: on the platform these statuses promise that the request has not run (a candidate for the request that users saw refused although it had run).

Cause: an answer that is signed and has the id of the request was passed on with any status. The promise is made by a header of its own; a server that fails after it has run a request may answer 503 without it. Evidence: a_status_that_promises_is_not_passed_on_without_the_promise failed on the code before: 408 for a request that had run. Why it works: the four statuses now come from the daemon only, which sends them for refusals whose outcome is "not run".

--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -246,6 +246,13 @@
         Ok((response, _connection)) if !answers_request(shared, id.as_ref(), &response) => Err(
             Refusal::unknown(Reason::Failed, "the answer does not belong to the request"),
         ),
+        Ok((response, _connection)) if promises_not_run(shared, response.status()) => {
+            let status = response.status();
+            let detail = format!(
+                "the backend server answered {status} without declaring that it did not run the request"
+            );
+            Err(Refusal::unknown(Reason::Failed, detail))
+        }
         Ok((response, connection)) => {
             let server_time = started.elapsed();
             let (buffer_by, stream_by) = answer::deadlines(shared, call);
@@ -307,6 +314,18 @@
     declared && status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+/// Returns whether callers take the status for a promise that the request did not run. The server makes
+/// that promise by a header, so its status alone is not passed on.
+fn promises_not_run(shared: &Shared, status: StatusCode) -> bool {
+    const PROMISES: [StatusCode; 4] = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    shared.dialect.requires_signature() && PROMISES.contains(&status)
+}
+
 fn shed_refusal(response: &Response<Incoming>) -> Refusal {
     match response.status() {
         StatusCode::MISDIRECTED_REQUEST => {
--- a/tests/false_refusals.rs
+++ b/tests/false_refusals.rs
@@ -30,3 +30,18 @@
     assert_eq!(platform.upstream.runs_of(path).len(), 1);
     assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
 }
+
+/// Guards against a status that promises callers that the request has not run, passed on from a server
+/// that does not say so.
+#[tokio::test]
+async fn a_status_that_promises_is_not_passed_on_without_the_promise() {
+    let platform = Platform::start_serving().await;
+    for status in ["408", "429", "503"] {
+        let path = format!("/unsafe/{status}");
+        let answer = platform.call("POST", &path, status).await.unwrap();
+        assert_eq!(platform.upstream.runs_of(&path).len(), 1, "{status}");
+        assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{status}");
+        let signature = "Anvilbeam-Response-Signature";
+        assert!(!answer.headers().contains_key(signature), "{status}");
+    }
+}
