Refuse a configuration that could not be read back

A configuration with a deeply nested member (125 levels in the limits) was acknowledged, and each read after it was answered 503 until the next change (found by tests for a report of operators on odd entries).

Cause: unknown members are stored as JSON text one level deeper than in the document, and the JSON reader refuses more than 127 levels. Documents within one level of that bound were accepted and not readable again. Evidence: a_nested_configuration_is_refused_or_read_back failed on the code before: 503 for "Limits" 125. Documents of 100,000 levels were refused before too, and ended no process. Change: what is stored is read back before the configuration is accepted; otherwise it is refused with 400. Why it works: the check uses the reader that later reads the stored text.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,7 +9,7 @@
         model::{Config, Grant, PathPrefix, Plan, PlanName, Rank, Terms, UNLIMITED, Work},
     },
     indexmap::{IndexMap, IndexSet},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::Value,
     serde_with::serde_as,
 };
@@ -145,12 +145,22 @@
         lists,
         interface_data: InterfaceData {
             number: document.version,
-            extra: serde_json::to_string(&extra).map_err(|e| e.to_string())?,
+            extra: readable_json(&extra)?,
         },
         base: document.base_version,
     })
 }
 
+/// Returns the JSON text of a value that can be read back: the text may nest deeper than the document that
+/// it comes from.
+fn readable_json<T: Serialize + DeserializeOwned>(value: &T) -> Result<String, String> {
+    let text = serde_json::to_string(value).map_err(|e| e.to_string())?;
+    match serde_json::from_str::<T>(&text) {
+        Ok(_read) => Ok(text),
+        Err(e) => Err(format!("the configuration could not be read back: {e}")),
+    }
+}
+
 fn plan_of(host: &str) -> Plan {
     Plan {
         name: host.into(),
@@ -225,7 +235,7 @@
                     timeout_ms: Some(route.timeout),
                     target_ms: route.target_latency,
                     attempts: Some(route.max_attempts),
-                    note: Some(serde_json::to_string(&note).map_err(|e| e.to_string())?),
+                    note: Some(readable_json(&note)?),
                 },
             })
         });
