Refuse heartbeats with invalid fields, and bound the effect of odd ones

A heartbeat of another writer with a number of 2^64 - 1 made a daemon ignore the heartbeats of its backend server, which then lost its lease; one with such a start time did so until the server was started again. Fields of another type, a missing warm-up, port 0 and the address 0.0.0.0 were accepted (reports of operators on odd entries).

Cause: the number and the start were compared, and remembered, whatever their size, and fields that the daemon does not need were not read. Evidence: an_odd_heartbeat_changes_nothing failed on the code before in 15 of its cases, with "later heartbeats are ignored" for Sequence and born of 2^64 - 1. an_odd_heartbeat_keeps_a_server_out_for_a_bounded_time failed for a later start. No process ended in any case. Change: all fields that the platform names must be there with their type, and numbers, start times and addresses must be possible. Result: the tests pass. Why it works: what cannot be right has no effect, and what is wrong though possible loses its effect once no delayed heartbeat is left.

--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -71,6 +71,10 @@
     ] {
         lists::check_name(name).map_err(|reason| format!("{field} {name:?}: {reason}"))?;
     }
+    let address = announcement.address;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        return Err(format!("address {address} cannot be connected to"));
+    }
     if announcement.slots == 0 || announcement.slots > MAX_SLOTS {
         return Err(format!(
             "slots must be 1 to {MAX_SLOTS}, not {}",
--- a/src/daemon/state/incarnations.rs
+++ b/src/daemon/state/incarnations.rs
@@ -16,9 +16,10 @@
 /// delayed by seconds at most, so older ones are not needed.
 const MAX_REMEMBERED: usize = 32;
 
-/// Time for which a server that left is remembered if it did not tell its incarnation. It bounds the
-/// effect of a wrong time of day.
-const UNNAMED_RETENTION: Duration = Duration::from_secs(30);
+/// Longest delay of a heartbeat, with a wide margin. Heartbeats that are out of order for longer come
+/// from a server that runs, and something else was wrong: an odd heartbeat of another writer, or the
+/// time of day at which a server left that did not tell its incarnation.
+const MAX_DELAY: Duration = Duration::from_secs(30);
 
 /// Incarnation of a server that does not tell it.
 const UNNAMED: u64 = 0;
@@ -39,11 +40,24 @@
 struct Start {
     server: ServerName,
     incarnation: u64,
-    /// Sequence number of its latest heartbeat; `None` if it sends none.
-    sequence: Option<u64>,
+    /// Highest sequence number of its heartbeats, and when that came; `None` if it sends none.
+    latest: Option<(u64, Instant)>,
     draining: bool,
-    /// Whether it has left or was replaced.
-    ended: bool,
+    /// Whether it has left.
+    left: bool,
+    /// When a later start took its place.
+    replaced_at: Option<Instant>,
+}
+
+impl Start {
+    /// Returns whether a heartbeat that arrives now with this number has been delayed.
+    fn is_delayed(&self, sequence: u64, now: Instant) -> bool {
+        let is_recent = |at: Instant| now < at + MAX_DELAY;
+        let older = self
+            .latest
+            .is_some_and(|(latest, at)| sequence <= latest && is_recent(at));
+        older || self.replaced_at.is_some_and(is_recent)
+    }
 }
 
 /// Departure of a server whose incarnation is unknown; it was started before `unix_ms`.
@@ -57,9 +71,10 @@
 
 impl Incarnations {
     /// Records the latest heartbeat of a server.
-    pub(super) fn record(&mut self, announcement: &Announcement, sequence: Option<u64>) {
+    pub(super) fn record(&mut self, announcement: &Announcement, sequence: u64, now: Instant) {
         let known = self.entry(&announcement.server, announcement.incarnation);
-        known.sequence = sequence.or(known.sequence);
+        known.latest = Some((sequence, now));
+        known.replaced_at = None;
         known.draining |= announcement.state == ServerState::Draining;
     }
 
@@ -68,15 +83,25 @@
         self.entry(server, incarnation).draining = true;
     }
 
-    /// Records that a start of a server is over.
-    pub(super) fn record_end(&mut self, server: &ServerName, incarnation: u64) {
-        self.entry(server, incarnation).ended = true;
+    /// Records that a start of a server has left.
+    pub(super) fn record_departure(&mut self, server: &ServerName, incarnation: u64) {
+        self.entry(server, incarnation).left = true;
+    }
+
+    /// Records that a later start, of this or another server, has taken the place of a start.
+    pub(super) fn record_replaced(&mut self, server: &ServerName, incarnation: u64, now: Instant) {
+        self.entry(server, incarnation).replaced_at = Some(now);
     }
 
     /// Records at time of day `unix_ms` that a server has left that did not tell its incarnation.
-    pub(super) fn record_unnamed_end(&mut self, server: ServerName, unix_ms: u64, now: Instant) {
+    pub(super) fn record_unnamed_departure(
+        &mut self,
+        server: ServerName,
+        unix_ms: u64,
+        now: Instant,
+    ) {
         for known in self.known.iter_mut().filter(|known| known.server == server) {
-            known.ended = true;
+            known.left = true;
         }
         if self.unnamed.len() >= MAX_REMEMBERED {
             self.unnamed.pop_front();
@@ -84,7 +109,7 @@
         self.unnamed.push_back(UnnamedDeparture {
             server,
             unix_ms,
-            forget_at: now + UNNAMED_RETENTION,
+            forget_at: now + MAX_DELAY,
         });
     }
 
@@ -92,11 +117,11 @@
     /// told from the one that is over.
     pub(super) fn forget_unnamed(&mut self, server: &ServerName) {
         self.known
-            .retain(|known| known.server != *server || known.incarnation != UNNAMED || known.ended);
+            .retain(|known| known.server != *server || known.incarnation != UNNAMED || known.left);
     }
 
-    /// Returns whether the announcement with this sequence number comes from a start that is over, or is
-    /// not newer than the last one of its start.
+    /// Returns whether the announcement with this sequence number comes from a start that is over, or was
+    /// delayed.
     pub(super) fn is_stale(
         &self,
         announcement: &Announcement,
@@ -115,7 +140,7 @@
         };
         let known = self.get(server, *incarnation);
         self.unnamed.iter().any(departed)
-            || known.is_some_and(|known| known.ended || Some(sequence) <= known.sequence)
+            || known.is_some_and(|known| known.left || known.is_delayed(sequence, now))
     }
 
     /// Returns whether the start of the server has announced that it is draining, which is final.
@@ -140,9 +165,10 @@
         self.known.push_back(known.unwrap_or_else(|| Start {
             server: server.clone(),
             incarnation,
-            sequence: None,
+            latest: None,
             draining: false,
-            ended: false,
+            left: false,
+            replaced_at: None,
         }));
         let last = self.known.len() - 1;
         &mut self.known[last]
--- a/src/daemon/state/own_server.rs
+++ b/src/daemon/state/own_server.rs
@@ -125,14 +125,16 @@
             .filter(|announced| incarnation.is_none_or(|leaving| leaving == announced.incarnation));
         let Some(announcement) = announced else {
             match incarnation {
-                Some(incarnation) => self.incarnations.record_end(&name, incarnation),
-                None => self.incarnations.record_unnamed_end(name, unix_ms, now),
+                Some(incarnation) => self.incarnations.record_departure(&name, incarnation),
+                None => self
+                    .incarnations
+                    .record_unnamed_departure(name, unix_ms, now),
             }
             return Vec::new();
         };
         announcement.state = ServerState::Draining;
         self.incarnations
-            .record_end(&name, announcement.incarnation);
+            .record_departure(&name, announcement.incarnation);
         let mut effects = self.refuse_waiting(now);
         effects.push(Effect::ReportEndpoint);
         effects
@@ -148,8 +150,8 @@
             return Vec::new();
         }
         let mut announcement = announcement.clone();
-        if heartbeat.sequence.is_some() {
-            self.incarnations.record(&announcement, heartbeat.sequence);
+        if let Some(sequence) = heartbeat.sequence {
+            self.incarnations.record(&announcement, sequence, now);
             let (server, incarnation) = (&announcement.server, announcement.incarnation);
             if self.incarnations.is_draining(server, incarnation) {
                 // Other daemons have acted on the drain, so an incarnation never leaves it.
@@ -171,7 +173,7 @@
         {
             let ended = &before.announcement;
             self.incarnations
-                .record_end(&ended.server, ended.incarnation);
+                .record_replaced(&ended.server, ended.incarnation, now);
         }
         let restarted = before
             .as_ref()
--- a/src/daemon/state/tests/leaving.rs
+++ b/src/daemon/state/tests/leaving.rs
@@ -2,6 +2,8 @@
 
 use {super::*, crate::model::Endpoint};
 
+/// Lease of the announcements.
+const LEASE: Duration = Duration::from_secs(8);
 /// Time of day at which the servers of these tests leave.
 const LEFT_AT_MS: u64 = 1_000_000;
 const STARTED_AT_MS: u64 = LEFT_AT_MS - 60_000;
@@ -127,6 +129,45 @@
     assert_eq!(unnamed, Some(ServerState::Serving));
 }
 
+/// Guards against a server that an odd heartbeat keeps out for good: one with its name and a number or a
+/// start that is far ahead.
+#[test]
+fn an_odd_heartbeat_keeps_a_server_out_for_a_bounded_time() {
+    let now = Instant::now();
+    for (odd_start, odd_sequence) in [(STARTED_AT_MS, 1 << 50), (STARTED_AT_MS + 5_000, 1)] {
+        let mut state = State::new(LEASE);
+        heartbeat(&mut state, STARTED_AT_MS, 5, ServerState::Serving, now);
+        heartbeat(
+            &mut state,
+            odd_start,
+            odd_sequence,
+            ServerState::Serving,
+            now,
+        );
+        let mut sequence = 5;
+        let mut used = None;
+        for second in 1..=45 {
+            let at = now + Duration::from_secs(second);
+            state.handle(Event::Tick, at, 0);
+            sequence += 1;
+            used = heartbeat(
+                &mut state,
+                STARTED_AT_MS,
+                sequence,
+                ServerState::Serving,
+                at,
+            );
+        }
+        assert_eq!(
+            used,
+            Some(ServerState::Serving),
+            "{odd_start} {odd_sequence}"
+        );
+        let server = state.server().unwrap();
+        assert_eq!(server.announcement.incarnation, STARTED_AT_MS);
+    }
+}
+
 /// Time for which a daemon waits for the record of its run before.
 const RECOVERY: Duration = Duration::from_secs(3);
 
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -49,7 +49,7 @@
     Box::pin(async move {
         let shared = tree.shared();
         let id = server_id(&req);
-        let checked = decode_heartbeat(id, &req.body).and_then(|heartbeat| {
+        let checked = decode_heartbeat(id, &req.body, unix_time_ms()).and_then(|heartbeat| {
             local::check_announcement(&heartbeat.announcement)?;
             if shared.is_known_service(&heartbeat.announcement.service) {
                 return Ok(heartbeat);
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -1,5 +1,5 @@
-//! Entries of other writers that the platform's interface receives: nested deeply, or with numbers that are
-//! too large.
+//! Entries of another writer among the heartbeats and configurations of the platform: nested deeply, or
+//! with numbers that are too large.
 
 mod platform;
 
@@ -17,6 +17,104 @@
     "[".repeat(levels) + &"]".repeat(levels)
 }
 
+/// Returns the text of a heartbeat of the server of the tests with one member replaced by `value`, which
+/// is JSON text.
+fn odd_heartbeat(platform: &Platform, member: &str, value: &str) -> String {
+    let heartbeat = json!({
+        "Service": "desk", "Address": platform.upstream.address, "Zone": "r1-a",
+        "Version": "v1", "Slots": 4, "State": "ready", "ColdRemaining": "0ms",
+        "Sequence": 3, "born": 1,
+    });
+    let mut members = heartbeat.as_object().unwrap().clone();
+    members.remove(member);
+    let mut texts: Vec<String> = members
+        .iter()
+        .map(|(name, value)| format!("{}:{value}", json!(name)))
+        .collect();
+    texts.push(format!("{}:{value}", json!(member)));
+    format!("{{{}}}", texts.join(","))
+}
+
+/// Returns odd values for each member of a heartbeat.
+fn odd_members() -> Vec<(&'static str, String)> {
+    let mut odd = vec![("Unknown", nested(DEPTH))];
+    for member in [
+        "Service",
+        "Address",
+        "Zone",
+        "Version",
+        "Slots",
+        "State",
+        "ColdRemaining",
+        "Sequence",
+        "born",
+    ] {
+        odd.push((member, nested(DEPTH)));
+        odd.push((member, "{}".to_owned()));
+        odd.push((member, "null".to_owned()));
+    }
+    for number in ["-1", "1.5", "4294967296", "1e30", "1e400"] {
+        odd.push(("Slots", number.to_owned()));
+    }
+    for number in [
+        "-1",
+        "1.5",
+        "18446744073709551615",
+        "18446744073709551616",
+        "1e30",
+        "1e400",
+    ] {
+        odd.push(("Sequence", number.to_owned()));
+        odd.push(("born", number.to_owned()));
+    }
+    for address in [
+        "127.0.0.1:65536",
+        "127.0.0.1:99999999999",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1",
+        "0.0.0.0:80",
+    ] {
+        odd.push(("Address", json!(address).to_string()));
+    }
+    for time in ["1e400ms", "99999999999999999999999s", "-1ms", "ms"] {
+        odd.push(("ColdRemaining", json!(time).to_string()));
+    }
+    odd
+}
+
+/// Guards against a heartbeat of another writer that ends the daemon, moves its backend server elsewhere,
+/// or keeps the true heartbeats of that server out.
+#[tokio::test]
+async fn an_odd_heartbeat_changes_nothing() {
+    let mut failures = Vec::new();
+    for (member, value) in odd_members() {
+        let platform = Platform::start_serving().await;
+        let shown = value.get(..24).unwrap_or(&value);
+        let case = format!("{member}: {shown}");
+        let text = odd_heartbeat(&platform, member, &value);
+        let status = platform.heartbeat_bytes("i-1", text).await;
+        // Members that are not known are ignored.
+        if status != StatusCode::BAD_REQUEST && member != "Unknown" {
+            failures.push(format!("{case}: answered {status}"));
+        }
+        for (sequence, path) in [(4, "/unsafe/first"), (5, "/unsafe/second")] {
+            platform.heartbeat("i-1", 1, sequence, "ready").await;
+            let answer = platform.call("POST", path, "r").await.unwrap();
+            if answer.status() != StatusCode::OK {
+                failures.push(format!("{case}: then {path} {}", answer.status()));
+            }
+        }
+        // A heartbeat that is still believed takes the server out of use.
+        platform.heartbeat("i-1", 1, 6, "draining").await;
+        let drained = platform.call("POST", "/unsafe/drained", "d").await.unwrap();
+        if drained.status() != StatusCode::SERVICE_UNAVAILABLE {
+            failures.push(format!("{case}: later heartbeats are ignored"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 /// Guards against a configuration that is acknowledged and cannot be read back, and against one that ends
 /// a process.
 #[tokio::test]
