Test answers that are cut at each byte

Operators reported backend servers that stopped within the head of an answer, and callers that got a 200 with an empty or short body, framed as whole. It was not reproduced here: an answer of each of four framings (with a length, chunked, to the end of the connection, after an interim answer) is cut at each of its bytes, and every cut one is answered 502.

The test passed on the code before, so nothing was changed. The head of an answer is read at one place, hyper's client at the owner daemon; between daemons it travels as one HTTP/2 frame, and a stream that ends early is an error there.

--- a/tests/platform/upstream.rs
+++ b/tests/platform/upstream.rs
@@ -170,8 +170,34 @@
     )
 }
 
+/// Framings of the answers that are cut.
+pub const CUT_FRAMINGS: [&str; 4] = ["sized", "chunked", "to-the-end", "interim"];
+
+/// Returns the answer to a request in a framing; one that lacks any of its bytes is not whole.
+pub fn framed_answer(framing: &str, id: &str) -> String {
+    match framing {
+        "sized" => signed_answer(id, "rolls"),
+        "chunked" => {
+            unsized_head(id, "Transfer-Encoding: chunked") + &chunks("many rolls") + "0\r\n\r\n"
+        }
+        // The body, which would end with the connection, is empty.
+        "to-the-end" => unsized_head(id, "Connection: close"),
+        _ => {
+            let hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+            hints.to_owned() + &signed_answer(id, "rolls")
+        }
+    }
+}
+
 /// Returns the answer to a request, and whether the connection stays open.
 fn scripted_answer(path: &str, id: &str) -> (String, bool) {
+    let cut = path
+        .split_once("/cut/")
+        .and_then(|(_, cut)| cut.split_once('/'));
+    if let Some((framing, size)) = cut {
+        let whole = framed_answer(framing, id);
+        return (whole[..size.parse().unwrap()].to_owned(), false);
+    }
     let correct = signed_answer(id, &format!("answer to {id}"));
     match path.rsplit('/').next().unwrap_or_default() {
         "stray" => (signed_answer("someone-else", "wrong") + &correct, true),
