Sync the last segment of the log when it is opened

Cause: a process that is killed between write and sync leaves intact frames that are not durable. The next one read them, opened a segment of its own, synced only that, and acknowledged the entries to the leader. Ruled out: lost names of files, since the gap is in front of an intact segment, and gaps that a replica writes, since the last entries of the earlier segment are the ones that are missing. Change: the last segment is synced on opening, before the next is created. Why it works: whatever the replica has read is durable before it can be acknowledged; older segments were synced before their successors existed.

--- a/src/wal.rs
+++ b/src/wal.rs
@@ -5,7 +5,8 @@
 //! segment repeats the identity and the hard state, so that older segments can be removed.
 //!
 //! A batch is synced before the next one is written, so a crash can only damage frames of the last
-//! batch, which was never acknowledged. The last segment is truncated at a damaged frame that no
+//! batch, which was never acknowledged. The last segment is synced on opening, before the next one is
+//! created. The last segment is truncated at a damaged frame that no
 //! intact one follows. A damaged frame before an intact one is reported as corruption. A last frame
 //! that was damaged after its sync cannot be distinguished from an incomplete write, so it is
 //! truncated too.
@@ -122,6 +123,11 @@
     pub fn open(folder: &Path, options: Options, new_id: ReplicaId) -> Result<(Self, Recovered)> {
         let lock = folder::lock(folder)?;
         let contents = recover::read(folder, new_id)?;
+        if let Some(last) = contents.segments.back() {
+            // The replica treats what it has read as durable, but a process that was killed before
+            // its sync leaves intact frames as well.
+            folder::sync_file(&last.path, &options)?;
+        }
         let recovered = contents.recovered;
         let hard = recovered.stored.hard;
         let sequence = contents.sequence + 1;
--- a/src/wal/folder.rs
+++ b/src/wal/folder.rs
@@ -93,6 +93,15 @@
     (options.sync_folder)(folder).map_err(file_error("sync folder", folder))
 }
 
+/// Makes the contents of a file durable that another process may have written.
+pub(super) fn sync_file(path: &Path, options: &Options) -> Result<()> {
+    let file = File::options()
+        .write(true)
+        .open(path)
+        .map_err(file_error("open segment", path))?;
+    (options.sync)(&file).map_err(file_error("sync segment", path))
+}
+
 pub(super) fn remove(path: &Path) -> Result<()> {
     fs::remove_file(path).map_err(file_error("remove file", path))
 }
