Let a learner take the place of a silent voter, not add a voter

Cause: the successor became a sixth voter 0.6 s after its start, while the lost voter stayed for 6 s and longer. A group of six with one voter gone has no majority after two more losses, and takes none of them back. Not seen to fail: two_losses_after_a_replacement_leave_a_majority, which waits for the replacement and has no time limit. Change: the group keeps the voters that the settings require; a learner is promoted in place of a voter that was silent for 1.5 s, which is removed at once. The decision is a function of its own, without a network. Why it works: while a successor holds all entries, one voter that is gone costs the group its place for about two seconds, and never another one.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 mod identity;
 mod joining;
 mod members;
+mod membership;
 mod operators;
 mod replace;
 mod replication;
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -72,6 +72,11 @@
         Ok((replica, thread))
     }
 
+    /// Returns the number of voters that the losses to be tolerated require.
+    pub(super) const fn required_voters(&self) -> usize {
+        2 * self.cfg.tolerated_losses + 1
+    }
+
     /// Answers one request on the peer port.
     pub(super) async fn answer_peer(&self, req: Request<Incoming>) -> Response<Body> {
         match req.uri().path() {
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -1,17 +1,16 @@
 //! Automatic membership of a config group, without an operator.
 //!
-//! A replica that belongs to no group asks the others to add it. The leader promotes learners that
-//! have caught up. It removes a member in two cases: a replica with another identity joins from the
-//! member's address, so the member's disk is lost; or the member has not answered for
-//! [`REMOVE_AFTER`] and the group has a learner or more voters than the settings require. A group
-//! of exactly the required voters does not shrink, so a voter that is only partitioned stays a
-//! member.
+//! A replica that belongs to no group asks the others to add it as a learner. The leader removes a
+//! member when a replica with another identity joins from its address, since its disk is lost. All
+//! other changes are those of [`super::membership`]. A group of exactly the required voters without a
+//! learner does not shrink, so a voter that is only partitioned stays a member.
 
 use {
     super::{
         config::ConfigReplica,
         identity,
         members::{MEMBERS_PATH, MemberOp, MemberReply},
+        membership::{Change, View, next_change},
     },
     crate::{
         events::Event,
@@ -19,13 +18,12 @@
         raft::{Member, MemberChange, MemberRole, ReplicaId, Role},
         replica::{RequestError, Status},
     },
-    indexmap::IndexMap,
     std::{
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{task::JoinSet, time::sleep},
+    tokio::time::sleep,
 };
 
 /// Interval between two checks of the membership.
@@ -33,18 +31,11 @@
 /// Time without a leader after which a replica asks to be added, in case it was removed; two
 /// elections fit into it.
 const REJOIN_AFTER: Duration = Duration::from_secs(3);
-/// Time without an answer after which a member that is not needed is removed; longer than most
-/// restarts.
-const REMOVE_AFTER: Duration = Duration::from_secs(6);
 /// Timeout of one join request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time at which each other member last answered the leader.
-type LastAnswers = IndexMap<ReplicaId, Instant>;
-
 /// Keeps this replica a member of its group and, while it leads, maintains the other members.
 pub(super) async fn maintain_membership(replica: Arc<ConfigReplica>, own_address: SocketAddr) {
-    let mut last_answers = LastAnswers::new();
     let mut last_leader_seen = Instant::now();
     loop {
         sleep(CHECK_INTERVAL).await;
@@ -55,10 +46,9 @@
         let status = replica.handle.status();
         if status.role == Role::Leader {
             last_leader_seen = now;
-            adjust_members(&replica, &status, &mut last_answers).await;
+            adjust_members(&replica, &status).await;
             continue;
         }
-        last_answers.clear();
         if status.leader.is_some() {
             last_leader_seen = now;
         }
@@ -96,73 +86,52 @@
     }
 }
 
-/// Promotes a learner that has caught up, or removes a member that no longer answers; makes at most
-/// one change.
-async fn adjust_members(replica: &ConfigReplica, status: &Status, last_answers: &mut LastAnswers) {
-    let others = status.members.iter().filter(|m| m.id != status.id);
-    if let Some(learner) = others.clone().find(|m| m.role == MemberRole::Learner) {
-        let change = MemberChange::Promote(learner.id);
-        if replica.handle.change_members(change).await.is_ok() {
-            log_event!(Event::MemberChanged, id = learner.id, change = "promoted");
-            return;
+/// Makes the next change of the members that the group needs.
+async fn adjust_members(replica: &ConfigReplica, status: &Status) {
+    let contacts = replica.handle.member_contacts();
+    let view = View {
+        members: &status.members,
+        leader: status.id,
+        contacts: &contacts,
+        required: replica.required_voters(),
+    };
+    match next_change(view, Instant::now()) {
+        None => {}
+        Some(Change::Promote(learner)) => drop(promote(replica, learner).await),
+        Some(Change::Replace { learner, voter }) => {
+            if promote(replica, learner).await {
+                remove(replica, voter, "a learner has taken its place").await;
+            }
         }
-    }
-    let voters = status
-        .members
-        .iter()
-        .filter(|m| m.role == MemberRole::Voter);
-    let required = 2 * replica.cfg.tolerated_losses + 1;
-    let has_learner = others.clone().any(|m| m.role == MemberRole::Learner);
-    if voters.count() <= required && !has_learner {
-        last_answers.clear();
-        return;
-    }
-    let others: Vec<Member> = others.cloned().collect();
-    poll_members(replica, &others, last_answers).await;
-    let now = Instant::now();
-    let unresponsive = others
-        .iter()
-        .filter(|member| {
-            last_answers
-                .get(&member.id)
-                .is_some_and(|answered| now > *answered + REMOVE_AFTER)
-        })
-        .min_by_key(|member| last_answers.get(&member.id));
-    if let Some(member) = unresponsive {
-        remove(replica, member, "it does not answer").await;
+        Some(Change::Remove(member)) => remove(replica, member, "it does not answer").await,
     }
 }
 
-/// Asks all members for their identity and records the time of each correct answer. A member that
-/// is new to `last_answers` counts as having answered now.
-async fn poll_members(replica: &ConfigReplica, members: &[Member], last_answers: &mut LastAnswers) {
-    let mut requests = JoinSet::new();
-    for member in members {
-        last_answers.entry(member.id).or_insert_with(Instant::now);
-        let (client, address, id) = (replica.client.clone(), member.address, member.id);
-        requests.spawn(async move { (id, identity::fetch(&client, address).await) });
-    }
-    last_answers.retain(|id, _| members.iter().any(|member| member.id == *id));
-    while let Some(result) = requests.join_next().await {
-        if let Ok((id, Ok(identity))) = result
-            && identity.id == id
-        {
-            last_answers.insert(id, Instant::now());
+/// Makes a learner a voter; returns whether it has caught up and is one now.
+async fn promote(replica: &ConfigReplica, learner: ReplicaId) -> bool {
+    let change = MemberChange::Promote(learner);
+    match replica.handle.change_members(change).await {
+        Ok(()) => {
+            log_event!(Event::MemberChanged, id = learner, change = "promoted");
+            true
+        }
+        Err(e) => {
+            log::info!("learner {learner} not promoted: {e}");
+            false
         }
     }
 }
 
-async fn remove(replica: &ConfigReplica, member: &Member, reason: &str) {
-    let change = MemberChange::Remove(member.id);
+async fn remove(replica: &ConfigReplica, member: ReplicaId, reason: &str) {
+    let change = MemberChange::Remove(member);
     match replica.handle.change_members(change).await {
         Ok(()) => log_event!(
             Event::MemberChanged,
-            id = member.id,
-            name = member.name,
+            id = member,
             change = "removed",
             reason = reason
         ),
-        Err(e) => log::info!("member {} not removed: {e}", member.name),
+        Err(e) => log::info!("member {member} not removed: {e}"),
     }
 }
 
--- a/src/control/replace.rs
+++ b/src/control/replace.rs
@@ -282,7 +282,7 @@
             .iter()
             .filter(|m| m.role == MemberRole::Voter)
             .count();
-        let required = 2 * self.cfg.tolerated_losses + 1;
+        let required = self.required_voters();
         if voters >= required || Instant::now() > self.started + GROWTH_TIMEOUT {
             return Ok(());
         }
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -260,6 +260,15 @@
         seen.get(self.quorum() - 1).copied()
     }
 
+    /// Returns when this replica last heard from each other member, if it leads.
+    pub fn member_contacts(&self) -> Vec<(ReplicaId, Instant)> {
+        let State::Leader(leader) = &self.state else {
+            return Vec::new();
+        };
+        let peers = leader.peers.iter();
+        peers.map(|(id, peer)| (*id, peer.last_seen)).collect()
+    }
+
     /// Returns the member record of this replica.
     pub const fn me(&self) -> &Member {
         &self.me
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -27,7 +27,7 @@
         wal::{self, Batch, Wal},
     },
     bytes::Bytes,
-    handle::{PendingRequest, Request},
+    handle::{Contacts, PendingRequest, Request},
     indexmap::IndexMap,
     std::{
         sync::{
@@ -51,8 +51,8 @@
     send: F,
     requests: Receiver<Request<S>>,
     status: watch::Sender<Status>,
-    /// Last contact with the quorum, for the handles.
-    quorum_contact: Arc<Mutex<Option<Instant>>>,
+    /// Last contacts, for the handles.
+    contacts: Arc<Mutex<Contacts>>,
     /// Unanswered requests by number.
     pending: IndexMap<u64, PendingRequest<S>>,
     next_number: u64,
@@ -125,12 +125,8 @@
     let now = Instant::now();
     let raft = Raft::new(options.raft, me, recovered.stored, now, rand::random());
     let status = watch::Sender::new(current_status(&raft, applied, wal.bytes()));
-    let quorum_contact = Arc::default();
-    let (handle, requests) = Handle::new(
-        recovered.id,
-        status.subscribe(),
-        Arc::clone(&quorum_contact),
-    );
+    let contacts = Arc::default();
+    let (handle, requests) = Handle::new(recovered.id, status.subscribe(), Arc::clone(&contacts));
     let replica = Replica {
         raft,
         wal,
@@ -138,7 +134,7 @@
         send,
         requests,
         status,
-        quorum_contact,
+        contacts,
         pending: IndexMap::new(),
         next_number: 0,
         applied,
@@ -358,10 +354,10 @@
     }
 
     fn publish_status(&self) {
-        *self
-            .quorum_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = self.raft.quorum_contact(Instant::now());
+        *self.contacts.lock().unwrap_or_else(PoisonError::into_inner) = Contacts {
+            quorum: self.raft.quorum_contact(Instant::now()),
+            members: self.raft.member_contacts(),
+        };
         let new = current_status(&self.raft, self.applied, self.wal.bytes());
         self.status.send_if_modified(|old| {
             if (old.role, old.term) != (new.role, new.term) {
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -7,7 +7,7 @@
     std::{
         fmt,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             mpsc::{self, Receiver, Sender},
         },
         time::Instant,
@@ -103,18 +103,27 @@
     id: ReplicaId,
     requests: Sender<Request<S>>,
     status: watch::Receiver<Status>,
-    quorum_contact: Arc<Mutex<Option<Instant>>>,
+    contacts: Arc<Mutex<Contacts>>,
     memory_permits: Arc<Semaphore>,
     message_permits: Arc<Semaphore>,
 }
 
+/// Last contacts of a replica with others. They stay as they are while its thread waits for the disk.
+#[derive(Debug, Default)]
+pub(super) struct Contacts {
+    /// Last contact with the quorum; see [`crate::raft::Raft::quorum_contact`].
+    pub(super) quorum: Option<Instant>,
+    /// Last contact with each other member, at the leader.
+    pub(super) members: Vec<(ReplicaId, Instant)>,
+}
+
 impl<S> Clone for Handle<S> {
     fn clone(&self) -> Self {
         Self {
             id: self.id,
             requests: self.requests.clone(),
             status: self.status.clone(),
-            quorum_contact: Arc::clone(&self.quorum_contact),
+            contacts: Arc::clone(&self.contacts),
             memory_permits: Arc::clone(&self.memory_permits),
             message_permits: Arc::clone(&self.message_permits),
         }
@@ -133,14 +142,14 @@
     pub(super) fn new(
         id: ReplicaId,
         status: watch::Receiver<Status>,
-        quorum_contact: Arc<Mutex<Option<Instant>>>,
+        contacts: Arc<Mutex<Contacts>>,
     ) -> (Self, Receiver<Request<S>>) {
         let (tx, rx) = mpsc::channel();
         let handle = Self {
             id,
             requests: tx,
             status,
-            quorum_contact,
+            contacts,
             memory_permits: Arc::new(Semaphore::new(MEMORY_UNITS)),
             message_permits: Arc::new(Semaphore::new(MAX_QUEUED_MESSAGES)),
         };
@@ -285,10 +294,17 @@
     /// Returns the latest time at which this replica was in contact with the quorum of its group; see
     /// [`crate::raft::Raft::quorum_contact`]. It stays as it is while the thread waits for the disk.
     pub fn quorum_contact(&self) -> Option<Instant> {
-        *self
-            .quorum_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.contacts().quorum
+    }
+
+    /// Returns when this replica last heard from each other member, if it leads. The times stay as they
+    /// are while the thread waits for the disk.
+    pub fn member_contacts(&self) -> Vec<(ReplicaId, Instant)> {
+        self.contacts().members.clone()
+    }
+
+    fn contacts(&self) -> MutexGuard<'_, Contacts> {
+        self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns a receiver with which status changes can be awaited.
--- a/tests/joining.rs
+++ b/tests/joining.rs
@@ -175,3 +175,37 @@
     sleep(Duration::from_secs(8)).await;
     group.wait_for_voters(&all).await;
 }
+
+/// Guards against a group that grows by a voter with each replacement: with six voters, one of which is
+/// gone, two more losses leave no majority.
+#[tokio::test]
+async fn two_losses_after_a_replacement_leave_a_majority() {
+    let mut group = Group::start_with_seeds(2).await;
+    group.join("control-3", 2).await;
+    group.join("control-4", 2).await;
+    let all = [
+        "control-0",
+        "control-1",
+        "control-2",
+        "control-3",
+        "control-4",
+    ];
+    group.wait_for_voters(&all).await;
+    let (stopped, _folder) = group.replicas.remove(2);
+    stopped.stop().await.unwrap();
+    group.join("control-9", 2).await;
+    let replaced = [
+        "control-0",
+        "control-1",
+        "control-3",
+        "control-4",
+        "control-9",
+    ];
+    group.wait_for_voters(&replaced).await;
+    for _ in 0..2 {
+        let (stopped, _folder) = group.replicas.remove(0);
+        stopped.stop().await.unwrap();
+    }
+    // Only a leader lists the members.
+    group.wait_for_voters(&replaced).await;
+}
