--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -96,14 +96,13 @@
         required: replica.required_voters(),
     };
     match next_change(view, Instant::now()) {
-        None => {}
         Some(Change::Promote(learner)) => drop(promote(replica, learner).await),
         Some(Change::Replace { learner, voter }) if promote(replica, learner).await => {
             remove(replica, voter, "a learner has taken its place").await;
         }
-        // The learner has not caught up yet.
-        Some(Change::Replace { .. }) => {}
         Some(Change::Remove(member)) => remove(replica, member, "it does not answer").await,
+        // Nothing is needed, or the learner has not caught up yet.
+        None | Some(Change::Replace { .. }) => {}
     }
 }
 
