Give the place of a voter that shuts down to a learner at once

Change: before it stops, a replica asks the leader to let a learner take its place; the leader transfers its leadership first. Without a learner nothing changes, and a replica waits for the answer 1 s at most. Evidence: a_voter_that_leaves_gives_its_place_to_a_learner; there was no such operation before, so the test could not be seen to fail. Result: the test passes, and the tests of the members.

--- a/src/control.rs
+++ b/src/control.rs
@@ -241,6 +241,11 @@
     /// # Errors
     /// The error that ended the replica thread, or [`Error::Codec`] if it panicked.
     pub async fn stop(self) -> Result<()> {
+        if let Replica::Config(replica) = &self.replica
+            && !replica.cfg.seeds.is_empty()
+        {
+            joining::leave(replica).await;
+        }
         let deadline = Instant::now() + SHUTDOWN_GRACE;
         if let Some(operators) = self.operators {
             operators.shutdown(deadline).await;
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -23,7 +23,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout_at},
 };
 
 /// Interval between two checks of the membership.
@@ -33,6 +33,8 @@
 const REJOIN_AFTER: Duration = Duration::from_secs(3);
 /// Timeout of one join request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time for which a replica that shuts down waits until a learner has taken its place.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Keeps this replica a member of its group and, while it leads, maintains the other members.
 pub(super) async fn maintain_membership(replica: Arc<ConfigReplica>, own_address: SocketAddr) {
@@ -178,3 +180,97 @@
     );
     handle.change_members(MemberChange::Add(member)).await
 }
+
+/// Lets a learner that does not fall silent take the place of a voter. The caller has confirmed that this
+/// replica leads.
+///
+/// # Errors
+/// There is no such learner, or a change was not made.
+pub(super) async fn replace<S: Send + 'static>(
+    handle: &crate::replica::Handle<S>,
+    voter: ReplicaId,
+) -> Result<(), RequestError> {
+    let (members, contacts) = (handle.members(), handle.member_contacts());
+    let view = View {
+        members: &members,
+        leader: handle.id(),
+        contacts: &contacts,
+        required: 0,
+    };
+    let Some(learner) = view.substitute(Instant::now()) else {
+        let reason = format!("no learner can take the place of {voter}");
+        return Err(RequestError::Refused(reason));
+    };
+    handle
+        .change_members(MemberChange::Promote(learner))
+        .await?;
+    log_event!(Event::MemberChanged, id = learner, change = "promoted");
+    handle.change_members(MemberChange::Remove(voter)).await?;
+    log_event!(
+        Event::MemberChanged,
+        id = voter,
+        change = "removed",
+        reason = "it shuts down and a learner has taken its place"
+    );
+    Ok(())
+}
+
+/// Gives the place of this replica in its group to a learner, if there is one, before a shutdown. It is
+/// not known whether the replica will be started again; if so, it joins as a learner.
+pub(super) async fn leave(replica: &ConfigReplica) {
+    let learner = |member: &Member| member.role == MemberRole::Learner;
+    if !replica.handle.members().iter().any(learner) {
+        return;
+    }
+    let deadline = Instant::now() + LEAVE_TIMEOUT;
+    match timeout_at(deadline.into(), ask_to_leave(replica, deadline)).await {
+        Ok(Ok(())) => log::info!("a learner has taken the place of this replica"),
+        Ok(Err(reason)) => log::info!("this replica keeps its place in the group: {reason}"),
+        Err(_elapsed) => log::info!("this replica keeps its place in the group: no answer in time"),
+    }
+}
+
+async fn ask_to_leave(replica: &ConfigReplica, deadline: Instant) -> Result<(), String> {
+    let handle = &replica.handle;
+    let mut status = handle.watch();
+    if status.borrow().role == Role::Leader {
+        transfer_leadership(replica).await?;
+    }
+    let own = handle.id();
+    let elected = status.wait_for(|status| {
+        let leader = status.leader.as_ref();
+        leader.is_some_and(|leader| leader.id != own)
+    });
+    let leader = elected
+        .await
+        .ok()
+        .and_then(|status| status.leader.as_ref().map(|leader| leader.address))
+        .ok_or("the replica has stopped")?;
+    let op = MemberOp::Leave { id: own };
+    let reply = replica
+        .client
+        .request("leave", leader, MEMBERS_PATH, &op, deadline);
+    match reply.await {
+        Ok(MemberReply::Done(_)) => Ok(()),
+        Ok(MemberReply::NotLeader(_)) => Err(format!("{leader} no longer leads")),
+        Ok(MemberReply::Refused(reason)) => Err(reason),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// Transfers the leadership to the first other voter that has caught up.
+async fn transfer_leadership(replica: &ConfigReplica) -> Result<(), String> {
+    let handle = &replica.handle;
+    let members = handle.members();
+    let others = members
+        .iter()
+        .filter(|member| member.role == MemberRole::Voter && member.id != handle.id());
+    let mut refused = "there is no other voter".to_owned();
+    for voter in others {
+        match handle.transfer(voter.id).await {
+            Ok(()) => return Ok(()),
+            Err(e) => refused = e.to_string(),
+        }
+    }
+    Err(format!("the leadership was not transferred: {refused}"))
+}
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -54,6 +54,11 @@
         /// Peer address of the replica.
         address: SocketAddr,
     },
+    /// Lets a learner take the place of the replica that sends the request, which is shutting down.
+    Leave {
+        /// Identity of the replica.
+        id: ReplicaId,
+    },
 }
 
 /// Reply to a [`MemberOp`].
@@ -110,6 +115,7 @@
             MemberAction::Remove => remove(handle, change).await?,
         },
         MemberOp::Join { name, address } => joining::add(handle, client, name, *address).await?,
+        MemberOp::Leave { id } => joining::replace(handle, *id).await?,
     }
     Ok(list_members(handle))
 }
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,5 +1,6 @@
 mod ended;
 mod in_force;
+mod leaving;
 mod membership;
 
 use {super::*, std::path::Path};
