--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -9,7 +9,7 @@
     super::{
         config::ConfigReplica,
         identity,
-        members::{MEMBERS_PATH, MemberOp, MemberReply},
+        members::{self, MEMBERS_PATH, MemberOp, MemberReply},
         membership::{Change, View, next_change},
     },
     crate::{
@@ -35,6 +35,8 @@
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time for which a replica that shuts down waits until a learner has taken its place.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which a new leader hears from a learner how far it has caught up.
+const CATCH_UP_TIME: Duration = Duration::from_millis(500);
 
 /// Keeps this replica a member of its group and, while it leads, maintains the other members.
 pub(super) async fn maintain_membership(replica: Arc<ConfigReplica>, own_address: SocketAddr) {
@@ -201,10 +203,10 @@
         let reason = format!("no learner can take the place of {voter}");
         return Err(RequestError::Refused(reason));
     };
-    handle
-        .change_members(MemberChange::Promote(learner))
-        .await?;
-    log_event!(Event::MemberChanged, id = learner, change = "promoted");
+    if !members::promote(handle, learner, CATCH_UP_TIME).await? {
+        let reason = format!("learner {learner} has not caught up");
+        return Err(RequestError::Refused(reason));
+    }
     handle.change_members(MemberChange::Remove(voter)).await?;
     log_event!(
         Event::MemberChanged,
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -154,7 +154,7 @@
 
 /// Promotes a learner to a voter as soon as it has caught up. Returns false if it has not caught up
 /// within `time_limit`.
-async fn promote<S: Send + 'static>(
+pub(super) async fn promote<S: Send + 'static>(
     handle: &Handle<S>,
     id: ReplicaId,
     time_limit: Duration,
