Refuse heartbeats of another service than the settings name

A whole heartbeat still moved a server. Evidence: a_heartbeat_cannot_move_a_server_to_another_service got 200 in place of 400 with the rule of before. Change: where the settings name a service, heartbeats of other services are refused. The service is read again with the settings. Why it works: the settings of the VM are not written by those who send heartbeats.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,7 +28,7 @@
         events::Event as LogEvent,
         log_event,
         metrics::Metrics,
-        model::Version,
+        model::{ServiceName, Version},
         peer,
         serve::{self, Server},
         settings,
@@ -192,6 +192,11 @@
         self.tree.set_configured_controls(control)
     }
 
+    /// Replaces the service of the own backend server from the settings; returns whether it changed.
+    pub fn set_service(&self, service: Option<ServiceName>) -> bool {
+        self.shared.set_service(service)
+    }
+
     /// Returns the metrics of the daemon.
     pub fn metrics(&self) -> &Metrics {
         &self.shared.metrics
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -61,6 +61,8 @@
     /// Number of the last change of the suspects that was reported to other daemons. The lock is
     /// held while a report is sent.
     pub reported_suspects: AsyncMutex<u64>,
+    /// Service of the own backend server according to the settings; `None` allows any that is granted.
+    configured_service: Mutex<Option<ServiceName>>,
     state: Mutex<State>,
     waiting: Mutex<HashMap<CallId, oneshot::Sender<SlotDecision>>>,
     backend: Mutex<Option<Arc<Backend>>>,
@@ -95,6 +97,7 @@
             state: Mutex::new(
                 State::new(cfg.announce_lease).recovering_until(Instant::now() + ENDPOINT_LEASE),
             ),
+            configured_service: Mutex::new(cfg.service.clone()),
             waiting: Mutex::default(),
             backend: Mutex::default(),
             next_call: AtomicU64::new(1),
@@ -188,16 +191,37 @@
     pub fn own_service(&self) -> Option<ServiceName> {
         let state = self.state();
         let announced = state.server().map(|server| &server.announcement.service);
-        announced.or(self.cfg.service.as_ref()).cloned()
+        announced.cloned().or_else(|| self.configured_service())
     }
 
-    /// Returns whether the settings or a grant in force name the service.
-    pub fn is_known_service(&self, service: &ServiceName) -> bool {
+    /// Replaces the service of the own backend server; returns whether it changed.
+    pub fn set_service(&self, service: Option<ServiceName>) -> bool {
+        let mut configured = self
+            .configured_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let changed = *configured != service;
+        *configured = service;
+        changed
+    }
+
+    fn configured_service(&self) -> Option<ServiceName> {
+        self.configured_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Returns whether the own backend server may offer the service: the one in the settings, or any that
+    /// a grant in force names if the settings name none.
+    pub fn may_offer(&self, service: &ServiceName) -> bool {
+        if let Some(configured) = self.configured_service() {
+            return configured == *service;
+        }
         let state = self.state();
-        let granted = state
+        state
             .snapshot()
-            .is_some_and(|snapshot| snapshot.has_grant_for(service));
-        granted || self.cfg.service.as_ref() == Some(service)
+            .is_some_and(|snapshot| snapshot.has_grant_for(service))
     }
 
     /// Returns the endpoint of the own backend server for other daemons; `None` while it is not
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -51,11 +51,13 @@
         let id = server_id(&req);
         let checked = decode_heartbeat(id, &req.body, unix_time_ms()).and_then(|heartbeat| {
             local::check_announcement(&heartbeat.announcement)?;
-            if shared.is_known_service(&heartbeat.announcement.service) {
+            if shared.may_offer(&heartbeat.announcement.service) {
                 return Ok(heartbeat);
             }
             let service = &heartbeat.announcement.service;
-            Err(format!("heartbeat of {id}: unknown service {service:?}"))
+            Err(format!(
+                "heartbeat of {id}: service {service:?} is not the one of this VM"
+            ))
         });
         match checked {
             Ok(heartbeat) => {
--- a/src/program.rs
+++ b/src/program.rs
@@ -260,13 +260,13 @@
     Ok(())
 }
 
-/// Reads the settings again and applies the addresses of the control replicas, which may change
-/// while the daemon runs. Other settings take effect at the next start. With `log_unchanged`, the
+/// Reads the settings again and applies the addresses of the control replicas and the service of the
+/// backend server, which may change while the daemon runs. Other settings take effect at the next start. With `log_unchanged`, the
 /// reload is logged even if nothing changed.
 fn reload(daemon: &Daemon, path: &Path, log_unchanged: bool) {
     match settings::Daemon::load_with_token(path, daemon.token()) {
         Ok(cfg) => {
-            let changed = daemon.set_control(cfg.control);
+            let changed = daemon.set_control(cfg.control) | daemon.set_service(cfg.service);
             if log_unchanged || changed {
                 log_event!(Event::SettingsReloaded, changed = changed);
             }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -5,7 +5,7 @@
 
 use {
     http::StatusCode,
-    platform::{Platform, configuration},
+    platform::{Platform, configuration, route},
     serde_json::{Value, json},
 };
 
@@ -115,6 +115,37 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+/// Guards against a backend server that a heartbeat of another writer moves to another service: it would
+/// run requests that no route allows it to run.
+#[tokio::test]
+async fn a_heartbeat_cannot_move_a_server_to_another_service() {
+    let platform = Platform::start_serving().await;
+    let mut office = route("safe");
+    office["Name"] = json!("r-office");
+    office["PathPrefix"] = json!("/office/");
+    office["Service"] = json!("office");
+    let mut document = configuration(2, 1, &[office]);
+    let mut service = document["Services"][0].clone();
+    service["Name"] = json!("office");
+    document["Services"].as_array_mut().unwrap().push(service);
+    platform.put_until_accepted(&document).await;
+    platform::wait_until("the daemon knows the service", || async {
+        let answer = platform.call("GET", "/office/1", "before").await;
+        answer.unwrap().status() == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    let moved = odd_heartbeat(&platform, "Service", "\"office\"");
+    let status = platform.heartbeat_bytes("i-1", moved).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let answer = platform.call("POST", "/unsafe/after", "after").await;
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+
+    assert!(platform.daemon.set_service(Some("office".into())));
+    let moved = odd_heartbeat(&platform, "Service", "\"office\"");
+    let status = platform.heartbeat_bytes("i-1", moved).await;
+    assert_eq!(status, StatusCode::OK, "with changed settings");
+}
+
 /// Guards against a configuration that is acknowledged and cannot be read back, and against one that ends
 /// a process.
 #[tokio::test]
