Let other tasks run while a peer sends without a pause

Cause: interim answers and digits of a chunk size are parsed and dropped, so nothing waits for a reader; hyper reads on until the budget of the runtime is used up, 128 reads of up to 64 KiB. A daemon has one thread. Ruled out: a lease that ends since the harness sends one heartbeat; it ends only while the thread is held. Change: Metered lets other tasks run after 64 KiB in a row, and wraps the connections to backend servers too. other_tasks_run_while_a_peer_sends_without_a_pause failed without it: 512 KiB in one poll. The test in endless_answers prints the answer. Why it works: however fast a peer sends, each turn of its connection is as long as the parsing of 64 KiB.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         body::{Body, Progress},
+        link::{Activity, Metered},
         serve,
     },
     http::{HeaderValue, Request, Response},
@@ -277,7 +278,7 @@
         serve::set_socket_options(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(serve::SEND_BUFFER)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, Activity::new())))
             .await
             .map_err(|e| self.connection_error(e))?;
         let address = self.address;
--- a/src/link.rs
+++ b/src/link.rs
@@ -22,6 +22,10 @@
     tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
+/// Bytes that are received in a row before other tasks run. A peer that sends without a pause would
+/// otherwise keep the thread for seconds, since what is parsed and dropped never waits for a reader.
+const MAX_READ_RUN: usize = 64 * 1024;
+
 /// Counters of one connection, shared by its tasks.
 #[derive(Debug)]
 pub struct Activity {
@@ -116,17 +120,23 @@
     }
 }
 
-/// A byte stream whose traffic is recorded.
+/// A byte stream whose traffic is recorded, and which lets other tasks run while its peer sends.
 #[derive(Debug)]
 pub struct Metered<T> {
     inner: T,
     activity: Arc<Activity>,
+    /// Bytes received since another task could run.
+    read_run: usize,
 }
 
 impl<T> Metered<T> {
     /// Records the traffic of `inner` in `activity`.
     pub const fn new(inner: T, activity: Arc<Activity>) -> Self {
-        Self { inner, activity }
+        Self {
+            inner,
+            activity,
+            read_run: 0,
+        }
     }
 }
 
@@ -136,9 +146,19 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        if self.read_run >= MAX_READ_RUN {
+            self.read_run = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let Poll::Ready(read) = Pin::new(&mut self.inner).poll_read(cx, buf) else {
+            self.read_run = 0;
+            return Poll::Pending;
+        };
+        read?;
         let size = buf.filled().len() - before;
+        self.read_run += size;
         if size > 0 {
             self.activity.record_received(size);
         }
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,8 +1,14 @@
 use {
-    super::{Activity, HeadTimeout, Metered},
-    std::{sync::Arc, time::Duration},
+    super::{Activity, HeadTimeout, MAX_READ_RUN, Metered},
+    std::{
+        future::poll_fn,
+        pin::pin,
+        sync::{Arc, atomic::Ordering},
+        task::Poll,
+        time::Duration,
+    },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt, duplex},
+        io::{AsyncReadExt, AsyncWriteExt, duplex, repeat},
         time::{sleep, timeout},
     },
 };
@@ -24,6 +30,29 @@
     assert!(text.contains("sent 3 B, received 5 B"), "{text}");
 }
 
+/// Guards against a peer that sends without a pause and keeps all other tasks of the process waiting.
+#[tokio::test]
+async fn other_tasks_run_while_a_peer_sends_without_a_pause() {
+    let activity = Activity::new();
+    let mut metered = Metered::new(repeat(b'a'), Arc::clone(&activity));
+    let mut reading = pin!(async {
+        let mut buf = [0; 4096];
+        loop {
+            metered.read_exact(&mut buf).await.unwrap();
+        }
+    });
+    let mut before = 0;
+    for _ in 0..10 {
+        let poll = poll_fn(|cx| Poll::Ready(reading.as_mut().poll(cx)));
+        let polled: Poll<()> = poll.await;
+        assert!(polled.is_pending());
+        let received = activity.received.load(Ordering::Relaxed);
+        let allowed = before..=before + MAX_READ_RUN as u64;
+        assert!(allowed.contains(&received), "{received} bytes");
+        before = received;
+    }
+}
+
 /// Timeout of heads in these tests.
 const HEAD_LIMIT: Duration = Duration::from_millis(30);
 /// Time in which a head that is late is noticed, also on a busy machine.
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -104,7 +104,7 @@
             platform.call("GET", "/safe/ok", "b"),
         );
         let answer = calling.await.expect("the call waits").unwrap();
-        assert_eq!(answer.status(), StatusCode::OK);
+        assert_eq!(answer.status(), StatusCode::OK, "{answer:?}");
     };
     let [first, second, third] = calls;
     let faulty = async { tokio::join!(first, second, third) };
