--- a/src/limits/limiter.rs
+++ b/src/limits/limiter.rs
@@ -189,13 +189,6 @@
         self.lease.allocation().quota_at(now)
     }
 
-    /// Returns whether a share is valid at `now`. One without a rate counts while its lease is valid,
-    /// since the parent then issues credits.
-    pub fn holds_share(&self, now: Instant) -> bool {
-        let allocation = self.lease.allocation();
-        allocation.until.is_some_and(|until| now < until) || allocation.quota_at(now).rate > 0
-    }
-
     /// Returns the time at which a waiting call can be admitted without a new share; `None` if the
     /// current share never admits it.
     pub fn next_call(&self, now: Instant) -> Option<Instant> {
--- a/src/limits/shares.rs
+++ b/src/limits/shares.rs
@@ -264,12 +264,10 @@
         }
         let guaranteed = self.guarantee_for(state, quota, now);
         let lease_end = now + LEASE;
-        let end = match self.allocation.valid_until(now) {
-            Some(until) => until.min(lease_end),
-            // A lease that has ended tells the child that there will be no credits either.
-            None if self.allocation.until.is_some() => now,
-            None => lease_end,
-        };
+        let end = self
+            .allocation
+            .valid_until(now)
+            .map_or(lease_end, |until| until.min(lease_end));
         let max_guarantee_end = now + self.policy.guarantee_ttl;
         let guaranteed_end = self
             .allocation
