--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -418,8 +418,30 @@
     }
 }
 
+/// Text of the tenants of a configuration, each with keys of its own.
+pub fn tenants(count: usize, keys: usize) -> String {
+    let tenant = |index: usize| {
+        let keys: Vec<String> = (0..keys).map(|key| format!("\"key-{index:08x}-{key:010x}\"")).collect();
+        let values = [("NAME", format!("tenant-{index}")), ("KEYS", keys.join(","))];
+        fill(words!("tenant.json"), &values)
+    };
+    let tenants: Vec<String> = (0..count).map(tenant).collect();
+    fill(words!("tenants.json"), &[("TENANTS", tenants.join(","))])
+}
+
 /// Text of a configuration.
 pub fn configuration(version: u64, base: u64, routes: &[Route], services: &[&str]) -> String {
+    configuration_with(version, base, routes, services, "")
+}
+
+/// Text of a configuration with further members.
+pub fn configuration_with(
+    version: u64,
+    base: u64,
+    routes: &[Route],
+    services: &[&str],
+    further: &str,
+) -> String {
     let routes: Vec<String> = routes
         .iter()
         .enumerate()
@@ -445,6 +467,7 @@
         ("ROUTES", routes.join(",")),
         ("SERVICES", services.join(",")),
         ("BASE", format!("{base:08x}")),
+        ("FURTHER", further.to_owned()),
     ];
     fill(words!("configuration.json"), &values)
 }
@@ -767,33 +790,16 @@
         pages.unwrap_or(0) * 4 / 1024
     }
 
-    /// Sends a configuration to one core machine after the other until one gives a clear answer.
-    pub fn put(&self, text: &str, timeout: Duration) -> io::Result<Answer> {
-        let until = Instant::now() + timeout;
-        let mut core = 0;
-        while Instant::now() < until {
-            let mut address = self.operators(core % self.cores);
-            core += 1;
-            for _redirect in 0..3 {
-                match plain(address, "PUT", &path_of("config"), text) {
-                    Ok(answer) if answer.status == 307 => match location(&answer) {
-                        Some(next) => address = next,
-                        None => break,
-                    },
-                    Ok(answer) if [200, 400, 409, 412, 413, 422].contains(&answer.status) => return Ok(answer),
-                    _ => break,
-                }
-            }
-            thread::sleep(ms(100));
-        }
-        Err(io::Error::other("the configuration got no clear answer"))
+    /// The operator of this deployment.
+    pub fn operator(&self) -> Operator {
+        Operator { cores: (0..self.cores).map(|core| self.operators(core)).collect(), next: 0 }
     }
 
     /// Makes a configuration the newest one.
     pub fn configure(&mut self, routes: &[Route], services: &[&str]) -> io::Result<()> {
         let (base, version) = (self.version, self.version + 2);
         let text = configuration(version, base, routes, services);
-        let answer = self.put(&text, ms(15_000))?;
+        let answer = self.operator().put(&text, ms(15_000))?;
         self.record.say(format!("configuration {version:08x} answered {}", answer.status));
         if answer.status != 200 {
             return Err(io::Error::other("the configuration was refused"));
@@ -830,6 +836,39 @@
     }
 }
 
+/// Sends configurations.
+pub struct Operator {
+    cores: Vec<SocketAddr>,
+    next: usize,
+}
+
+impl Operator {
+    /// Sends a configuration to one core machine after the other until one gives a clear answer. Begins with
+    /// the one that answered last.
+    pub fn put(&mut self, text: &str, timeout: Duration) -> io::Result<Answer> {
+        let until = Instant::now() + timeout;
+        while Instant::now() < until {
+            let mut address = self.cores[self.next % self.cores.len()];
+            for _redirect in 0..3 {
+                match plain(address, "PUT", &path_of("config"), text) {
+                    Ok(answer) if answer.status == 307 => match location(&answer) {
+                        Some(next) => address = next,
+                        None => break,
+                    },
+                    Ok(answer) if [200, 400, 409, 412, 413, 422].contains(&answer.status) => {
+                        self.next = self.cores.iter().position(|core| *core == address).unwrap_or(0);
+                        return Ok(answer);
+                    }
+                    _ => break,
+                }
+            }
+            self.next += 1;
+            thread::sleep(ms(100));
+        }
+        Err(io::Error::other("the configuration got no clear answer"))
+    }
+}
+
 fn location(answer: &Answer) -> Option<SocketAddr> {
     let rest = answer.headers.get("location")?.strip_prefix("http://")?;
     rest.split('/').next()?.parse().ok()
