--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -3,7 +3,7 @@
 #[path = "../standin-2/mesh.rs"]
 mod mesh;
 
-use mesh::{Bounds, Call, Mesh, Node, Record, Route, Upstream, ms};
+use mesh::{Bounds, Call, Mesh, Node, Record, Route, Signal, Upstream, ms};
 use std::{
     io,
     sync::{
@@ -72,7 +72,7 @@
     if trouble {
         let nodes: Vec<Node> = (0..CORES).map(Node::Core).chain((0..SIDES).map(Node::Side)).collect();
         for node in &nodes {
-            mesh.signal(*node, "KILL")?;
+            mesh.signal(*node, Signal::Kill)?;
         }
         thread::sleep(DOWN);
         for node in &nodes {
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -541,6 +541,17 @@
     Side(usize),
 }
 
+/// Signals of the platform.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    Kill = 9,
+    Term = 15,
+}
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 /// Times that the platform puts into the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -745,18 +756,20 @@
         Ok(())
     }
 
-    /// Sends a signal to a process, by the name that `kill` uses.
-    pub fn signal(&self, node: Node, signal: &str) -> io::Result<()> {
+    /// Sends a signal to a process.
+    pub fn signal(&self, node: Node, signal: Signal) -> io::Result<()> {
         let child = self.processes.get(&node).ok_or_else(|| io::Error::other("no process"))?;
-        self.record.say(format!("SIG{signal} to {node:?}"));
-        let id = child.id().to_string();
-        let done = Command::new("kill").args(["-s", signal, &id]).status()?;
-        if done.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
+        self.record.say(format!("{signal:?} to {node:?}"));
+        // SAFETY: the child has not been waited for, so the id is that of a process started here.
+        match unsafe { kill(child.id() as i32, signal as i32) } {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        }
     }
 
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, node: Node) -> io::Result<()> {
-        self.signal(node, "KILL")?;
+        self.signal(node, Signal::Kill)?;
         self.processes.remove(&node).map_or(Ok(()), |mut child| child.wait().map(drop))
     }
 
