--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -426,7 +426,7 @@
         fill(words!("tenant.json"), &values)
     };
     let tenants: Vec<String> = (0..count).map(tenant).collect();
-    fill(words!("tenants.json"), &[("TENANTS", tenants.join(","))])
+    fill(words!("tenants.json"), &[("LIST", tenants.join(","))])
 }
 
 /// Text of a configuration.
